--- /dev/null
+++ b/src/azureshore/balance/dispatcher.cpp
@@ -0,0 +1,105 @@
+#include "azureshore/balance/dispatcher.hpp"
+
+#include "azureshore/balance/internal/dispatcher_state.hpp"
+
+#include <utility>
+
+namespace azureshore::balance {
+
+std::string_view to_string(refusal_cause cause)
+{
+    switch (cause) {
+    case refusal_cause::no_configuration:
+        return "no_configuration";
+    case refusal_cause::no_route:
+        return "no_route";
+    case refusal_cause::no_backend:
+        return "no_backend";
+    case refusal_cause::overloaded:
+        return "overloaded";
+    case refusal_cause::attempts_exhausted:
+        return "attempts_exhausted";
+    case refusal_cause::outcome_unknown:
+        return "outcome_unknown";
+    case refusal_cause::timed_out:
+        return "timed_out";
+    case refusal_cause::suspect_request:
+        return "suspect_request";
+    }
+    return "";
+}
+
+dispatcher::dispatcher(data_centre_id self, shared_bounds bounds, dispatcher_hooks hooks)
+    : inner(std::make_unique<state>(std::move(self), bounds, std::move(hooks)))
+{
+}
+
+dispatcher::~dispatcher() = default;
+
+bool dispatcher::configure(std::shared_ptr<const traffic_configuration> next)
+{
+    return this->inner->configure(std::move(next));
+}
+
+std::shared_ptr<const traffic_configuration> dispatcher::configuration() const
+{
+    return this->inner->current;
+}
+
+void dispatcher::backend_changed(const registration& now_known)
+{
+    this->inner->book.changed(this->inner->hooks.clock(), now_known);
+}
+
+void dispatcher::backend_removed(const backend_id& id)
+{
+    this->inner->book.removed(id);
+}
+
+void dispatcher::set_out_of_service(std::set<data_centre_id> data_centres)
+{
+    this->inner->book.set_out_of_service(std::move(data_centres));
+}
+
+void dispatcher::set_fleet(std::size_t daemons, std::function<double(const backend_id&)> cold_part)
+{
+    this->inner->daemons = daemons;
+    this->inner->book.set_cold_part(std::move(cold_part));
+}
+
+void dispatcher::suspect(std::uint64_t fingerprint)
+{
+    this->inner->suspected.lost(this->inner->hooks.clock(), fingerprint);
+}
+
+void dispatcher::begin(const arrived_request& request)
+{
+    this->inner->begin(request);
+}
+
+void dispatcher::caller_gone(request_number request)
+{
+    this->inner->caller_gone(request);
+}
+
+void dispatcher::probe_ended(probe_number probe, const std::optional<probe_reading>& reading)
+{
+    this->inner->probe_ended(probe, reading);
+}
+
+void dispatcher::attempt_ended(attempt_number attempt, const attempt_result& result)
+{
+    this->inner->attempt_ended(attempt, result);
+}
+
+std::size_t dispatcher::in_flight() const
+{
+    return this->inner->requests.size();
+}
+
+dispatcher_counts dispatcher::counts() const
+{
+    return this->inner->counted;
+}
+
+} // namespace azureshore::balance
--- /dev/null
+++ b/src/azureshore/balance/internal/search.cpp
@@ -0,0 +1,255 @@
+#include "azureshore/balance/internal/dispatcher_state.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace azureshore::balance {
+
+namespace {
+
+// A backend server asked as the n-th is taken at once if it costs no more than this; each further
+// question costs a round trip, so the bar falls.
+constexpr std::array<double, 6> good_enough{1.30, 1.40, 1.50, 1.70, 2.00, 2.50};
+// The next candidate is asked when one has not answered for this long: a few round trips.
+constexpr duration silence = std::chrono::milliseconds(12);
+// The most a search waits for its last answers.
+constexpr duration search_limit = std::chrono::milliseconds(150);
+// Time between two looks for room by the requests that wait.
+constexpr duration queue_interval = std::chrono::milliseconds(12);
+// A request is hopeless when less than this share of its usual time at the server is left.
+constexpr double least_share = 0.8;
+// Bounds the requests that wait for one service.
+constexpr std::size_t most_waiting = 512;
+
+} // namespace
+
+void dispatcher::state::start_search(live_request& of, bool second)
+{
+    of.search.emplace();
+    of.search->generation = ++this->last_generation;
+    of.search->second = second;
+    this->hooks.after(search_limit, [this, request = of.in.number,
+                                     generation = of.search->generation] {
+        auto* live = this->find(request);
+        if (live != nullptr && live->search && live->search->generation == generation) {
+            this->decide(*live);
+        }
+    });
+    this->ask_next(of);
+}
+
+void dispatcher::state::ask_next(live_request& of)
+{
+    auto& search = *of.search;
+    if (search.asked.size() >= good_enough.size()) {
+        if (search.pending == 0) {
+            this->decide(of);
+        }
+        return;
+    }
+    auto besides = search.asked;
+    besides.insert(of.tried.begin(), of.tried.end());
+    const auto candidates = this->book.candidates(this->now(), this->traits(of), besides);
+    if (candidates.empty()) {
+        if (search.pending == 0) {
+            this->decide(of);
+        }
+        return;
+    }
+    const auto& chosen = *candidates.front();
+    const probe_number probe{++this->last_probe};
+    search.asked.insert(chosen.registered.id);
+    ++search.pending;
+    ++this->counted.probes;
+    this->probes[probe] = {of.in.number, chosen.registered.id, search.generation};
+    const auto request = of.in.number;
+    const auto generation = search.generation;
+    this->hooks.after(silence, [this, request, generation, asked = search.asked.size()] {
+        auto* live = this->find(request);
+        if (live != nullptr && live->search && live->search->generation == generation &&
+            live->search->asked.size() == asked && live->search->pending > 0) {
+            this->ask_next(*live);
+        }
+    });
+    // Last, as the answer may come from within the call.
+    this->hooks.probe({probe, chosen.registered.id, chosen.registered.where,
+                       this->traits(of).health_path});
+}
+
+void dispatcher::state::probe_ended(probe_number probe, const std::optional<probe_reading>& reading)
+{
+    const auto found = this->probes.find(probe);
+    if (found == this->probes.end()) {
+        return;
+    }
+    const auto asked = found->second;
+    this->probes.erase(found);
+    this->book.probed(this->now(), asked.backend, reading);
+    auto* live = this->find(asked.request);
+    if (live == nullptr || !live->search || live->search->generation != asked.generation) {
+        if (reading) {
+            this->hooks.release(probe);
+        }
+        return;
+    }
+    --live->search->pending;
+    if (!reading) {
+        this->ask_next(*live);
+        return;
+    }
+    this->take_reading(*live, asked, probe, *reading);
+}
+
+void dispatcher::state::take_reading(live_request& of, const sent_probe& asked, probe_number probe,
+                                     const probe_reading& reading)
+{
+    auto& search = *of.search;
+    const auto* known = this->book.find(asked.backend);
+    const bool usable = known != nullptr && reading.healthy &&
+                        this->book.may_send(this->now(), *known, this->traits(of));
+    if (!usable) {
+        this->hooks.release(probe);
+        this->ask_next(of);
+        return;
+    }
+    const load_reading load = reading.load.value_or(
+        load_reading{known->in_flight, 0, known->registered.slots, 1});
+    found_backend here{asked.backend, probe, detail::cost_of(load),
+                       load.running + load.waiting >= load.slots &&
+                           load.waiting >= std::max<std::size_t>(load.slots, 1)};
+    if (this->now() < known->cold_until) {
+        here.cost *= 2;
+    }
+    if (search.best && search.best->cost <= here.cost) {
+        this->hooks.release(probe);
+    }
+    else {
+        if (search.best) {
+            this->hooks.release(search.best->probe);
+        }
+        search.best = here;
+    }
+    const auto place = std::min(search.asked.size(), good_enough.size()) - 1;
+    if (!search.best->full && search.best->cost <= good_enough.at(place)) {
+        this->decide(of);
+        return;
+    }
+    this->ask_next(of);
+}
+
+// Whether a moment's wait for a better backend server promises an answer within the target, which
+// the one found does not.
+bool dispatcher::state::worth_waiting(const live_request& of, double cost)
+{
+    const auto spent = this->now() - of.in.arrived;
+    const auto target = of.on->target_latency;
+    auto& estimate = this->work(of);
+    return spent + estimate.expected(cost) > target &&
+           spent + queue_interval + estimate.expected(1.2) < target;
+}
+
+void dispatcher::state::decide(live_request& of)
+{
+    const auto search = std::exchange(of.search, std::nullopt);
+    const auto now = this->now();
+    auto best = search->best;
+    if (best && !search->second) {
+        const bool wait = best->full || this->worth_waiting(of, best->cost);
+        if (!wait && now + this->work(of).expected(std::min(best->cost, 2.0) * least_share) <
+                         of.deadline) {
+            this->send(of, *best);
+            return;
+        }
+    }
+    if (best && search->second && !best->full && this->may_try_again(of)) {
+        this->send(of, *best);
+        return;
+    }
+    if (best) {
+        this->hooks.release(best->probe);
+    }
+    if (search->second && !of.running.empty()) {
+        return;
+    }
+    this->wait_for_room(of);
+}
+
+void dispatcher::state::drop_search(live_request& of)
+{
+    if (of.search && of.search->best) {
+        this->hooks.release(of.search->best->probe);
+    }
+    of.search.reset();
+}
+
+void dispatcher::state::wait_for_room(live_request& of)
+{
+    const auto now = this->now();
+    auto& waiting = this->service(of.service);
+    if (this->book.in_service(of.service) == 0) {
+        this->refuse(of, {refusal_cause::no_backend, 503, this->room_expected(of)});
+        return;
+    }
+    if (now + queue_interval + this->work(of).expected(least_share) >= of.deadline ||
+        waiting.queue.size() >= most_waiting) {
+        this->refuse(of, {refusal_cause::overloaded, 503, this->room_expected(of)});
+        return;
+    }
+    const auto place = std::find_if(
+        waiting.queue.begin(), waiting.queue.end(), [&](request_number each) {
+            const auto* other = this->find(each);
+            return other->on->priority > of.on->priority ||
+                   (other->on->priority == of.on->priority && other->in.arrived > of.in.arrived);
+        });
+    waiting.queue.insert(place, of.in.number);
+    of.queued = true;
+    this->set_queue_timer(of.service);
+}
+
+void dispatcher::state::set_queue_timer(const service_id& name)
+{
+    auto& waiting = this->service(name);
+    if (waiting.timer_set) {
+        return;
+    }
+    waiting.timer_set = true;
+    this->hooks.after(queue_interval, [this, name] {
+        this->service(name).timer_set = false;
+        this->serve_queue(name);
+    });
+}
+
+// Refuses what can't be served in time any more and lets the most urgent look for room.
+void dispatcher::state::serve_queue(const service_id& name)
+{
+    const auto queue = this->service(name).queue;
+    for (const auto each : queue) {
+        auto& of = *this->find(each);
+        if (this->now() + this->work(of).expected(least_share) >= of.deadline) {
+            this->leave_queue(of);
+            this->refuse(of, {refusal_cause::overloaded, 503, this->room_expected(of)});
+        }
+    }
+    auto& waiting = this->service(name);
+    if (waiting.queue.empty()) {
+        return;
+    }
+    auto& first = *this->find(waiting.queue.front());
+    this->leave_queue(first);
+    if (!waiting.queue.empty()) {
+        this->set_queue_timer(name);
+    }
+    this->start_search(first, !first.running.empty());
+}
+
+void dispatcher::state::leave_queue(live_request& of)
+{
+    if (!of.queued) {
+        return;
+    }
+    of.queued = false;
+    std::erase(this->service(of.service).queue, of.in.number);
+}
+
+} // namespace azureshore::balance
--- a/src/azureshore/daemon/entry_daemon.hpp
+++ b/src/azureshore/daemon/entry_daemon.hpp
@@ -1,16 +1,12 @@
 #pragma once
 
+#include "azureshore/daemon/exit_status.hpp"
 #include "azureshore/settings/daemon_settings.hpp"
 
 #include <memory>
 
 namespace azureshore::daemon {
 
-// Exit statuses of a daemon.
-constexpr int exit_stopped = 0;
-constexpr int exit_failed = 1;
-constexpr int exit_wrong_use = 2;
-
 // One entry VM's process: a node with its sockets, threads and timers.
 class entry_daemon {
 public:
--- /dev/null
+++ b/src/azureshore/daemon/gateway_daemon.cpp
@@ -0,0 +1,251 @@
+#include "azureshore/daemon/gateway_daemon.hpp"
+
+#include "azureshore/balance/backend_registry.hpp"
+#include "azureshore/daemon/exit_status.hpp"
+#include "azureshore/daemon/internal/gateway_store.hpp"
+#include "azureshore/daemon/version.hpp"
+#include "azureshore/gateway/gateway.hpp"
+#include "azureshore/gateway/http_port.hpp"
+#include "azureshore/observe/event_log.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <csignal>
+#include <unistd.h>
+#include <utility>
+
+namespace azureshore::daemon {
+
+namespace {
+
+// Lines of the log are written together, at most this late.
+constexpr duration log_interval = std::chrono::milliseconds(500);
+// The platform's balancer asks once a second and believes two refusals.
+constexpr duration balancer_lag = std::chrono::milliseconds(2600);
+// A planned stop ends this long before it must, as timers fire late.
+constexpr duration stop_margin = std::chrono::milliseconds(500);
+constexpr duration stop_check = std::chrono::milliseconds(50);
+constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
+constexpr int status_unavailable = 503;
+
+time_point clock_now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+std::int64_t wall_clock_ms()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+} // namespace
+
+class gateway_daemon::state {
+public:
+    state(const settings::gateway_settings& from, std::string file, gateway_platform around)
+        : settings(from), settings_file(std::move(file)), platform(std::move(around)),
+          log({from.log_lines_per_second}, observe::descriptor_sink(STDOUT_FILENO), wall_clock_ms),
+          gateway(this->executor, this->make_settings(), this->platform.words,
+                  [this](const observe::decision& made) { this->write(made); }, nullptr),
+          store(this->executor, from, this->platform, this->make_store_hooks()),
+          ready_port(this->executor, from.ready, this->make_ready_hooks()),
+          metrics_port(this->executor, from.metrics, this->make_metrics_hooks())
+    {
+    }
+
+    int run()
+    {
+        std::signal(SIGPIPE, SIG_IGN);
+        this->await_signal();
+        this->flush_log();
+        this->write({"start",
+                     {{"vm", this->settings.name.value},
+                      {"version", std::string(version)},
+                      {"callers", to_string(this->settings.callers)},
+                      {"store", to_string(this->settings.store)}}});
+        this->share_bounds();
+        this->store.start();
+        this->executor.run();
+        this->log.flush();
+        return exit_stopped;
+    }
+
+private:
+    [[nodiscard]] gateway::gateway_settings make_settings() const
+    {
+        gateway::gateway_settings made;
+        made.name = this->settings.name;
+        made.data_centre = this->settings.data_centre;
+        made.callers = this->settings.callers;
+        made.bounds = {this->settings.retry_ratio, this->settings.retry_slack,
+                       this->settings.retry_window};
+        return made;
+    }
+
+    detail::gateway_store_hooks make_store_hooks()
+    {
+        detail::gateway_store_hooks hooks;
+        hooks.configured = [this](std::shared_ptr<const balance::traffic_configuration> next) {
+            const auto number = next->version;
+            const bool taken = this->gateway.configure(std::move(next));
+            this->write({taken ? "configuration_in_force" : "configuration_outdated",
+                         {{"version", std::to_string(number)}}});
+        };
+        hooks.out_of_service = [this](const std::set<data_centre_id>& data_centres) {
+            this->gateway.decisions().set_out_of_service(data_centres);
+        };
+        hooks.backend_changed = [this](const balance::registration& now_known) {
+            this->gateway.decisions().backend_changed(now_known);
+        };
+        hooks.backend_removed = [this](const backend_id& id) {
+            this->gateway.backend_removed(id);
+        };
+        hooks.log = [this](const observe::decision& event) {
+            this->write(event);
+        };
+        return hooks;
+    }
+
+    gateway::http_port_hooks make_ready_hooks()
+    {
+        gateway::http_port_hooks hooks;
+        hooks.request = [this](request_number number, const http1::request& request) {
+            http1::response answer;
+            answer.status = request.target != this->platform.readiness_path ? status_not_found
+                            : this->ready() ? status_ok
+                                            : status_unavailable;
+            this->ready_port.answer(number, std::move(answer));
+        };
+        return hooks;
+    }
+
+    gateway::http_port_hooks make_metrics_hooks()
+    {
+        gateway::http_port_hooks hooks;
+        hooks.request = [this](request_number number, const http1::request&) {
+            http1::response answer;
+            answer.fields.push_back({"Content-Type", "text/plain; version=0.0.4"});
+            answer.body = this->gateway.metrics();
+            this->metrics_port.answer(number, std::move(answer));
+        };
+        return hooks;
+    }
+
+    [[nodiscard]] bool ready() const { return !this->stopping && this->store.known(); }
+
+    void write(const observe::decision& event) { this->log.write(clock_now(), event); }
+
+    void share_bounds()
+    {
+        // Until daemons know of each other, each assumes as many as a deployment has today.
+        constexpr std::size_t usual_daemons = 16;
+        this->gateway.decisions().set_fleet(usual_daemons, [](const backend_id&) {
+            return 1.0 / usual_daemons;
+        });
+    }
+
+    void flush_log()
+    {
+        this->log.flush();
+        this->log_timer.expires_after(log_interval);
+        this->log_timer.async_wait([this](const asio::error_code& error) {
+            if (!error) {
+                this->flush_log();
+            }
+        });
+    }
+
+    void await_signal()
+    {
+        this->signals.async_wait([this](const asio::error_code& error, int number) {
+            if (error) {
+                return;
+            }
+            if (number == SIGHUP) {
+                this->reload();
+            }
+            else {
+                this->begin_stop();
+            }
+            this->await_signal();
+        });
+    }
+
+    // Addresses can't change while the process runs; the rest is taken.
+    void reload()
+    {
+        auto loaded = settings::load_gateway_settings(this->settings_file);
+        if (const auto* problems = std::get_if<std::vector<settings::problem>>(&loaded)) {
+            this->write({"reload_refused", {{"problem", to_string(problems->front())}}});
+            return;
+        }
+        this->settings = std::get<settings::gateway_settings>(loaded);
+        this->write({"reload", {{"file", this->settings_file}}});
+    }
+
+    void begin_stop()
+    {
+        if (this->stopping) {
+            return;
+        }
+        this->stopping = true;
+        this->stop_began = clock_now();
+        this->gateway.stop_keeping();
+        this->write({"stop_begins", {{"in_flight", std::to_string(this->gateway.in_flight())}}});
+        this->watch_stop();
+    }
+
+    void watch_stop()
+    {
+        const auto spent = clock_now() - this->stop_began;
+        const bool balancer_knows = spent >= balancer_lag;
+        const bool last_moment = spent >= this->settings.stop_within - stop_margin;
+        if (last_moment || (balancer_knows && this->gateway.in_flight() == 0)) {
+            this->write({"stop", {{"in_flight", std::to_string(this->gateway.in_flight())}}});
+            this->gateway.stop();
+            this->executor.stop();
+            return;
+        }
+        this->stop_timer.expires_after(stop_check);
+        this->stop_timer.async_wait([this](const asio::error_code& error) {
+            if (!error) {
+                this->watch_stop();
+            }
+        });
+    }
+
+    settings::gateway_settings settings;
+    std::string settings_file;
+    gateway_platform platform;
+    observe::event_log log;
+    asio::io_context executor{1};
+    asio::signal_set signals{this->executor, SIGTERM, SIGINT, SIGHUP};
+    asio::steady_timer log_timer{this->executor};
+    asio::steady_timer stop_timer{this->executor};
+    bool stopping = false;
+    time_point stop_began{};
+    gateway::http_gateway gateway;
+    detail::gateway_store store;
+    gateway::http_port ready_port;
+    gateway::http_port metrics_port;
+};
+
+gateway_daemon::gateway_daemon(const settings::gateway_settings& settings,
+                               std::string settings_file, gateway_platform platform)
+    : inner(std::make_unique<state>(settings, std::move(settings_file), std::move(platform)))
+{
+}
+
+gateway_daemon::~gateway_daemon() = default;
+
+int gateway_daemon::run()
+{
+    return this->inner->run();
+}
+
+} // namespace azureshore::daemon
--- /dev/null
+++ b/src/azureshore/daemon/gateway_daemon.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "azureshore/daemon/gateway_platform.hpp"
+#include "azureshore/settings/gateway_settings.hpp"
+
+#include <memory>
+#include <string>
+
+namespace azureshore::daemon {
+
+// A daemon whose configuration and backend servers come from the platform's store.
+class gateway_daemon {
+public:
+    // `settings_file` is read again at SIGHUP and when it changes.
+    gateway_daemon(const settings::gateway_settings& settings, std::string settings_file,
+                   gateway_platform platform);
+    ~gateway_daemon();
+    gateway_daemon(const gateway_daemon&) = delete;
+    gateway_daemon& operator=(const gateway_daemon&) = delete;
+    gateway_daemon(gateway_daemon&&) = delete;
+    gateway_daemon& operator=(gateway_daemon&&) = delete;
+
+    // Serves until a planned stop has ended; returns the process's exit status.
+    int run();
+
+private:
+    class state;
+    std::unique_ptr<state> inner;
+};
+
+} // namespace azureshore::daemon
--- /dev/null
+++ b/src/azureshore/gateway/gateway.cpp
@@ -0,0 +1,288 @@
+#include "azureshore/gateway/gateway.hpp"
+
+#include "azureshore/core/hash.hpp"
+#include "azureshore/gateway/backend_pool.hpp"
+#include "azureshore/gateway/http_port.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <map>
+#include <unordered_map>
+#include <utility>
+
+namespace azureshore::gateway {
+
+namespace {
+
+constexpr int status_bad_request = 400;
+
+// Text of a duration as Retry-After takes it here: seconds with a fraction.
+std::string seconds_text(duration wait)
+{
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(wait).count());
+    return text.data();
+}
+
+std::uint64_t fingerprint_of(const http1::request& request)
+{
+    return stable_hash(request.body,
+                       stable_hash(request.target, stable_hash(request.method)));
+}
+
+// A request has exactly one Host and a path.
+bool well_formed(const http1::request& request)
+{
+    const auto hosts = std::count_if(
+        request.fields.begin(), request.fields.end(),
+        [](const net::field& each) { return net::same_name(each.name, "Host"); });
+    return hosts == 1 && request.target.starts_with('/');
+}
+
+} // namespace
+
+class http_gateway::state {
+public:
+    state(asio::io_context& context, const gateway_settings& settings, dialect spelling,
+          observe::decision_hook decided, std::function<void(std::uint64_t)> suspected)
+        : executor(context), words(std::move(spelling)), pool(context, this->words),
+          decisions(settings.data_centre, settings.bounds,
+                    this->make_hooks(std::move(decided), std::move(suspected))),
+          port(context, settings.callers, this->make_port_hooks())
+    {
+    }
+
+    ~state() { *this->alive = false; }
+    state(const state&) = delete;
+    state& operator=(const state&) = delete;
+    state(state&&) = delete;
+    state& operator=(state&&) = delete;
+
+    [[nodiscard]] std::string metrics() const
+    {
+        const auto counted = this->decisions.counts();
+        std::string text;
+        const auto add = [&](const char* name, std::uint64_t value) {
+            text.append("# TYPE ").append(name).append(" counter\n");
+            text.append(name).append(" ").append(std::to_string(value)).append("\n");
+        };
+        add("azureshore_requests_total", counted.requests);
+        add("azureshore_answers_total", counted.answered);
+        add("azureshore_refusals_total", counted.refused);
+        add("azureshore_attempts_total", counted.attempts);
+        add("azureshore_second_sends_total", counted.second_sends);
+        add("azureshore_probes_total", counted.probes);
+        add("azureshore_backend_connections_opened_total", this->pool.opened());
+        return text;
+    }
+
+    asio::io_context& executor;
+    dialect words;
+    backend_pool pool;
+    balance::dispatcher decisions;
+    http_port port;
+
+private:
+    struct stored_request {
+        http1::request request;
+        std::map<attempt_number, http1::response> answers;
+    };
+
+    balance::dispatcher_hooks make_hooks(observe::decision_hook decided,
+                                         std::function<void(std::uint64_t)> suspected)
+    {
+        balance::dispatcher_hooks hooks;
+        hooks.clock = [] {
+            return time_point(std::chrono::steady_clock::now());
+        };
+        hooks.after = [this](duration delay, std::function<void()> work) {
+            this->after(delay, std::move(work));
+        };
+        hooks.probe = [this](const balance::probe_order& order) {
+            this->pool.probe(order, [this, probe = order.probe](const auto& reading) {
+                this->decisions.probe_ended(probe, reading);
+            });
+        };
+        hooks.release = [this](balance::probe_number probe) {
+            this->pool.release(probe);
+        };
+        hooks.send = [this](const balance::attempt_order& order) {
+            this->send(order);
+        };
+        hooks.cancel = [this](attempt_number attempt) {
+            this->pool.cancel(attempt);
+        };
+        hooks.deliver = [this](request_number request, attempt_number attempt) {
+            this->deliver(request, attempt);
+        };
+        hooks.refuse = [this](request_number request, const balance::refusal& why) {
+            this->refuse(request, why);
+        };
+        hooks.random = system_random();
+        hooks.decided = std::move(decided);
+        hooks.suspected = std::move(suspected);
+        return hooks;
+    }
+
+    http_port_hooks make_port_hooks()
+    {
+        http_port_hooks hooks;
+        hooks.request = [this](request_number number, http1::request request) {
+            this->begin(number, std::move(request));
+        };
+        hooks.gone = [this](request_number number) {
+            this->requests.erase(number);
+            this->decisions.caller_gone(number);
+        };
+        return hooks;
+    }
+
+    void after(duration delay, std::function<void()> work)
+    {
+        auto timer = std::make_shared<asio::steady_timer>(this->executor, delay);
+        timer->async_wait(
+            [timer, alive = this->alive, work = std::move(work)](const asio::error_code& error) {
+                if (!error && *alive) {
+                    work();
+                }
+            });
+    }
+
+    void begin(request_number number, http1::request request)
+    {
+        if (!well_formed(request)) {
+            http1::response refused;
+            refused.status = status_bad_request;
+            this->port.answer(number, std::move(refused));
+            return;
+        }
+        balance::arrived_request arrived;
+        arrived.number = number;
+        arrived.id = net::find_field(request.fields, this->words.request_id);
+        arrived.host = net::find_field(request.fields, "Host");
+        arrived.path = request.target.substr(0, request.target.find('?'));
+        arrived.fingerprint = fingerprint_of(request);
+        arrived.arrived = time_point(std::chrono::steady_clock::now());
+        const auto patience =
+            net::parse_number(net::find_field(request.fields, this->words.deadline_ms));
+        if (patience) {
+            arrived.patience = std::chrono::milliseconds(*patience);
+        }
+        this->requests[number].request = std::move(request);
+        this->decisions.begin(arrived);
+    }
+
+    void send(const balance::attempt_order& order)
+    {
+        this->pool.send(order, this->requests.at(order.request).request,
+                        [this, order](const balance::attempt_result& result,
+                                      http1::response answer) {
+                            const auto found = this->requests.find(order.request);
+                            if (found != this->requests.end() &&
+                                result.end == balance::attempt_end::answered) {
+                                found->second.answers[order.attempt] = std::move(answer);
+                            }
+                            this->decisions.attempt_ended(order.attempt, result);
+                        });
+    }
+
+    void deliver(request_number request, attempt_number attempt)
+    {
+        auto stored = this->requests.extract(request);
+        auto& from = stored.mapped().answers.at(attempt);
+        http1::response answer;
+        answer.status = from.status;
+        answer.fields = this->forwarded(stored.mapped().request, from);
+        answer.body = std::move(from.body);
+        this->port.answer(request, std::move(answer));
+    }
+
+    // An answer to HEAD keeps the length that it names.
+    std::vector<net::field> forwarded(const http1::request& request,
+                                      const http1::response& answer) const
+    {
+        auto fields = http1::end_to_end(answer.fields);
+        const auto length = net::find_field(answer.fields, "Content-Length");
+        if (request.method == "HEAD" && !length.empty()) {
+            fields.push_back({"Content-Length", std::string(length)});
+        }
+        return fields;
+    }
+
+    void refuse(request_number request, const balance::refusal& why)
+    {
+        const auto stored = this->requests.extract(request);
+        http1::response answer;
+        answer.status = why.status;
+        if (!stored.empty()) {
+            const auto id =
+                net::find_field(stored.mapped().request.fields, this->words.request_id);
+            answer.fields.push_back({this->words.request_id, std::string(id)});
+        }
+        answer.fields.push_back({"Content-Type", "text/plain"});
+        if (why.retry_after) {
+            answer.fields.push_back({"Retry-After", seconds_text(*why.retry_after)});
+        }
+        answer.body = std::string(balance::to_string(why.cause)) + '\n';
+        this->port.answer(request, std::move(answer));
+    }
+
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+    std::unordered_map<request_number, stored_request> requests;
+};
+
+http_gateway::http_gateway(asio::io_context& executor, const gateway_settings& settings,
+                           dialect words, observe::decision_hook decided,
+                           std::function<void(std::uint64_t fingerprint)> suspected)
+    : inner(std::make_unique<state>(executor, settings, std::move(words), std::move(decided),
+                                    std::move(suspected)))
+{
+}
+
+http_gateway::~http_gateway() = default;
+
+balance::dispatcher& http_gateway::decisions()
+{
+    return this->inner->decisions;
+}
+
+bool http_gateway::configure(std::shared_ptr<const balance::traffic_configuration> next)
+{
+    const auto limits = next->limits;
+    if (!this->inner->decisions.configure(std::move(next))) {
+        return false;
+    }
+    this->inner->port.set_limits(limits);
+    return true;
+}
+
+void http_gateway::backend_removed(const backend_id& id)
+{
+    this->inner->decisions.backend_removed(id);
+    this->inner->pool.forget(id);
+}
+
+void http_gateway::stop_keeping()
+{
+    this->inner->port.stop_keeping();
+}
+
+void http_gateway::stop()
+{
+    this->inner->port.stop();
+}
+
+std::size_t http_gateway::in_flight() const
+{
+    return this->inner->port.in_flight();
+}
+
+std::string http_gateway::metrics() const
+{
+    return this->inner->metrics();
+}
+
+} // namespace azureshore::gateway
--- /dev/null
+++ b/src/azureshore/gateway/http_port.cpp
@@ -0,0 +1,196 @@
+#include "azureshore/gateway/http_port.hpp"
+
+#include "azureshore/gateway/internal/caller_connection.hpp"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <utility>
+
+namespace azureshore::gateway {
+
+namespace {
+
+using asio::ip::tcp;
+
+constexpr int longest_backlog = 1024;
+// Wait after an accept that failed for want of descriptors.
+constexpr std::chrono::milliseconds accept_pause(20);
+
+} // namespace
+
+class http_port::state : public detail::caller_owner,
+                         public std::enable_shared_from_this<http_port::state> {
+public:
+    state(asio::io_context& context, const address& where, http_port_hooks calls)
+        : acceptor(context), pause(context), hooks(std::move(calls))
+    {
+        const tcp::endpoint at(asio::ip::make_address(where.host), where.port);
+        this->acceptor.open(at.protocol());
+        this->acceptor.set_option(tcp::acceptor::reuse_address(true));
+        this->acceptor.bind(at);
+        this->acceptor.listen(longest_backlog);
+    }
+
+    void accept()
+    {
+        this->acceptor.async_accept(
+            [self = this->shared_from_this()](const asio::error_code& error, tcp::socket socket) {
+                if (error == asio::error::operation_aborted || self->stopped) {
+                    return;
+                }
+                if (error) {
+                    self->accept_later();
+                    return;
+                }
+                const auto made = std::make_shared<detail::caller_connection>(std::move(socket),
+                                                                              *self);
+                self->connections.insert(made);
+                made->start();
+                self->accept();
+            });
+    }
+
+    void answer(request_number request, http1::response answer)
+    {
+        if (const auto found = this->waiting.find(request); found != this->waiting.end()) {
+            const auto to = found->second;
+            this->waiting.erase(found);
+            to->answer(std::move(answer));
+        }
+    }
+
+    void stop()
+    {
+        this->stopped = true;
+        asio::error_code ignored;
+        this->acceptor.close(ignored);
+        this->pause.cancel();
+        const auto all = this->connections;
+        for (const auto& each : all) {
+            each->close_if_idle();
+        }
+    }
+
+    void close_all()
+    {
+        this->stop();
+        const auto all = this->connections;
+        for (const auto& each : all) {
+            each->close();
+        }
+    }
+
+    request_number request_came(const std::shared_ptr<detail::caller_connection>& from) override
+    {
+        const request_number number{++this->last_request};
+        this->waiting[number] = from;
+        return number;
+    }
+
+    void handle(request_number number, http1::request request) override
+    {
+        this->hooks.request(number, std::move(request));
+    }
+
+    void caller_left(request_number number) override
+    {
+        if (this->waiting.erase(number) > 0 && this->hooks.gone) {
+            this->hooks.gone(number);
+        }
+    }
+
+    void rejected(int status) override
+    {
+        if (this->hooks.rejected) {
+            this->hooks.rejected(status);
+        }
+    }
+
+    void closed(const std::shared_ptr<detail::caller_connection>& which) override
+    {
+        this->connections.erase(which);
+    }
+
+    [[nodiscard]] const balance::caller_limits& limits() const override
+    {
+        return this->current_limits;
+    }
+
+    [[nodiscard]] bool keeps_connections() const override { return this->keeping; }
+
+    [[nodiscard]] std::size_t in_flight() const
+    {
+        std::size_t busy = 0;
+        for (const auto& each : this->connections) {
+            busy += each->idle() ? 0 : 1;
+        }
+        return busy;
+    }
+
+    tcp::acceptor acceptor;
+    asio::steady_timer pause;
+    http_port_hooks hooks;
+    balance::caller_limits current_limits;
+    bool keeping = true;
+    bool stopped = false;
+
+private:
+    void accept_later()
+    {
+        this->pause.expires_after(accept_pause);
+        this->pause.async_wait([self = this->shared_from_this()](const asio::error_code& error) {
+            if (!error && !self->stopped) {
+                self->accept();
+            }
+        });
+    }
+
+    std::uint64_t last_request = 0;
+    std::unordered_map<request_number, std::shared_ptr<detail::caller_connection>> waiting;
+    std::set<std::shared_ptr<detail::caller_connection>> connections;
+};
+
+http_port::http_port(asio::io_context& executor, const address& where, http_port_hooks hooks)
+    : inner(std::make_shared<state>(executor, where, std::move(hooks)))
+{
+    this->inner->accept();
+}
+
+http_port::~http_port()
+{
+    this->inner->hooks = {};
+    this->inner->close_all();
+}
+
+void http_port::answer(request_number request, http1::response answer)
+{
+    this->inner->answer(request, std::move(answer));
+}
+
+void http_port::set_limits(const balance::caller_limits& limits)
+{
+    this->inner->current_limits = limits;
+}
+
+void http_port::stop_keeping()
+{
+    this->inner->keeping = false;
+}
+
+void http_port::stop()
+{
+    this->inner->stop();
+}
+
+std::uint16_t http_port::port() const
+{
+    return this->inner->acceptor.local_endpoint().port();
+}
+
+std::size_t http_port::in_flight() const
+{
+    return this->inner->in_flight();
+}
+
+} // namespace azureshore::gateway
--- /dev/null
+++ b/src/azureshore/gateway/http_port.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "azureshore/balance/traffic_configuration.hpp"
+#include "azureshore/core/address.hpp"
+#include "azureshore/core/ids.hpp"
+#include "azureshore/core/time.hpp"
+#include "azureshore/http1/message.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace asio {
+class io_context;
+}
+
+namespace azureshore::gateway {
+
+// Called on the executor's thread.
+struct http_port_hooks {
+    // A whole request has come; one answer is due, unless the caller leaves first.
+    std::function<void(request_number, http1::request)> request;
+    // The connection of a request without an answer has closed. May be empty.
+    std::function<void(request_number)> gone;
+    // A request was refused before it was whole, with this status. May be empty.
+    std::function<void(int status)> rejected;
+};
+
+// An HTTP/1.1 server on one address. Unlike a server that hands out requests and forgets them, it
+// keeps reading while a request runs, so it knows at once when a caller leaves.
+class http_port {
+public:
+    // Listens at once; throws std::system_error when the address can't be had.
+    http_port(asio::io_context& executor, const address& where, http_port_hooks hooks);
+    ~http_port();
+    http_port(const http_port&) = delete;
+    http_port& operator=(const http_port&) = delete;
+    http_port(http_port&&) = delete;
+    http_port& operator=(http_port&&) = delete;
+
+    // Does nothing for a request whose caller has left.
+    void answer(request_number request, http1::response answer);
+
+    // Limits for requests to come.
+    void set_limits(const balance::caller_limits& limits);
+
+    // Each answer from now on closes its connection.
+    void stop_keeping();
+
+    // Takes no new connections and closes those without a request.
+    void stop();
+
+    [[nodiscard]] std::uint16_t port() const;
+
+    // Requests without an answer, and answers that are not sent whole.
+    [[nodiscard]] std::size_t in_flight() const;
+
+private:
+    class state;
+    std::shared_ptr<state> inner;
+};
+
+} // namespace azureshore::gateway
--- /dev/null
+++ b/src/azureshore/gateway/internal/backend_connection.cpp
@@ -0,0 +1,206 @@
+#include "azureshore/gateway/internal/backend_connection.hpp"
+
+#include <asio/write.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <utility>
+
+namespace azureshore::gateway::detail {
+
+namespace {
+
+// A whole answer is held until it is sent on; larger ones are broken off.
+constexpr http1::reader_limits answer_limits{64UL * 1024UL, 32UL * 1024UL * 1024UL};
+// Bytes that stay unacknowledged for this long end a connection: its peer has no power or no path.
+constexpr int unacknowledged_ms = 2000;
+constexpr duration connect_limit = std::chrono::milliseconds(1000);
+
+} // namespace
+
+backend_connection::backend_connection(asio::io_context& executor,
+                                       const asio::ip::tcp::endpoint& peer)
+    : socket(executor), where(peer), timer(executor),
+      reader(http1::message_kind::response, answer_limits)
+{
+}
+
+void backend_connection::start(exchange next)
+{
+    this->current = std::move(next);
+    this->written = false;
+    this->reader.expect_no_body(this->current->is_head);
+    if (!this->connected) {
+        this->connect();
+        return;
+    }
+    this->write();
+}
+
+void backend_connection::connect()
+{
+    const auto limit = this->current->timeout;
+    this->set_timer(limit > duration{} ? std::min(limit, connect_limit) : connect_limit);
+    this->socket.async_connect(
+        this->where, [self = this->shared_from_this()](const asio::error_code& error) {
+            if (self->closed) {
+                return;
+            }
+            if (error) {
+                self->finish(exchange_end::not_connected, {});
+                return;
+            }
+            self->connected = true;
+            asio::error_code ignored;
+            self->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+            using user_timeout =
+                asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+            self->socket.set_option(user_timeout(unacknowledged_ms), ignored);
+            self->write();
+            self->read();
+        });
+}
+
+void backend_connection::write()
+{
+    if (this->current->timeout > duration{}) {
+        this->set_timer(this->current->timeout);
+    }
+    else {
+        this->timer.cancel();
+    }
+    asio::async_write(this->socket, asio::buffer(this->current->bytes),
+                      [self = this->shared_from_this()](const asio::error_code& error,
+                                                        std::size_t) {
+                          if (!error) {
+                              self->written = true;
+                          }
+                          // A failed write leaves the end to the read: an answer may have come.
+                      });
+}
+
+void backend_connection::read()
+{
+    this->socket.async_read_some(
+        asio::buffer(this->buffer),
+        [self = this->shared_from_this()](const asio::error_code& error, std::size_t count) {
+            if (self->closed) {
+                return;
+            }
+            if (error) {
+                self->stream_ended(error == asio::error::eof);
+                return;
+            }
+            self->bytes_came(count);
+        });
+}
+
+void backend_connection::bytes_came(std::size_t count)
+{
+    if (!this->current) {
+        this->close();
+        return;
+    }
+    this->pending.append(this->buffer.data(), count);
+    this->take_answers();
+    if (!this->closed) {
+        this->read();
+    }
+}
+
+void backend_connection::take_answers()
+{
+    while (this->current && !this->pending.empty()) {
+        const auto used = this->reader.feed(this->pending);
+        this->pending.erase(0, used);
+        if (this->reader.state() == http1::read_state::need_more) {
+            return;
+        }
+        if (this->reader.state() != http1::read_state::complete) {
+            this->finish(exchange_end::broken, {});
+            return;
+        }
+        auto answer = this->reader.take_response();
+        this->keep = this->keep && answer.keep_alive;
+        if (this->current->matches(answer)) {
+            // Bytes after the answer, or a request that is not written whole, leave the
+            // connection unfit for another exchange.
+            this->keep = this->keep && this->pending.empty() && this->written;
+            this->finish(exchange_end::answered, std::move(answer));
+            return;
+        }
+        this->keep = false;
+    }
+}
+
+void backend_connection::stream_ended(bool at_end)
+{
+    if (!this->current) {
+        this->close();
+        return;
+    }
+    this->keep = false;
+    if (at_end) {
+        this->reader.end_of_stream();
+        if (this->reader.state() == http1::read_state::complete) {
+            auto answer = this->reader.take_response();
+            if (this->current->matches(answer)) {
+                this->finish(exchange_end::answered, std::move(answer));
+                return;
+            }
+        }
+    }
+    this->finish(exchange_end::broken, {});
+}
+
+void backend_connection::finish(exchange_end end, http1::response answer)
+{
+    this->timer.cancel();
+    auto done = std::move(this->current->done);
+    this->current.reset();
+    if (end != exchange_end::answered || !this->keep) {
+        this->close();
+    }
+    done({end, std::move(answer)});
+}
+
+void backend_connection::abandon()
+{
+    this->current.reset();
+    this->closed_idle = nullptr;
+    this->close();
+}
+
+bool backend_connection::reusable() const
+{
+    return this->connected && !this->closed && this->keep;
+}
+
+void backend_connection::close()
+{
+    if (this->closed) {
+        return;
+    }
+    this->closed = true;
+    asio::error_code ignored;
+    this->socket.close(ignored);
+    this->timer.cancel();
+    if (!this->current && this->closed_idle) {
+        this->closed_idle();
+    }
+}
+
+void backend_connection::set_timer(duration wait)
+{
+    this->timer.expires_after(wait);
+    this->timer.async_wait([weak = this->weak_from_this()](const asio::error_code& error) {
+        const auto self = weak.lock();
+        if (!self || error || self->closed || !self->current ||
+            self->timer.expiry() > asio::steady_timer::clock_type::now()) {
+            return;
+        }
+        self->finish(self->connected ? exchange_end::timed_out : exchange_end::not_connected, {});
+    });
+}
+
+} // namespace azureshore::gateway::detail
--- /dev/null
+++ b/src/azureshore/gateway/internal/backend_connection.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "azureshore/core/time.hpp"
+#include "azureshore/http1/message_reader.hpp"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace azureshore::gateway::detail {
+
+// How an exchange on a connection ended.
+enum class exchange_end : std::uint8_t {
+    answered,
+    // No connection was made: no byte left.
+    not_connected,
+    // The connection ended, or carried bytes that are no answer.
+    broken,
+    timed_out,
+};
+
+struct exchange_result {
+    exchange_end end = exchange_end::broken;
+    http1::response answer;
+};
+
+using exchange_done = std::function<void(exchange_result)>;
+
+// One request and its answer.
+struct exchange {
+    std::string bytes;
+    bool is_head = false;
+    // Zero waits for as long as the connection holds.
+    duration timeout{};
+    // Whether an answer is the one to this request; others are skipped, as a backend server may
+    // send an answer twice or late.
+    std::function<bool(const http1::response&)> matches;
+    exchange_done done;
+};
+
+// One connection to a backend server, which carries one exchange at a time. Bytes that come when
+// no exchange runs belong to no request, and close it.
+class backend_connection : public std::enable_shared_from_this<backend_connection> {
+public:
+    backend_connection(asio::io_context& executor, const asio::ip::tcp::endpoint& peer);
+
+    // Connects first if need be. `done` is called once, never from within.
+    void start(exchange next);
+
+    // Closes the connection; the exchange under way gets no end.
+    void abandon();
+
+    // Whether it can carry another exchange.
+    [[nodiscard]] bool reusable() const;
+
+    // Called when an idle connection closes.
+    std::function<void()> closed_idle;
+
+private:
+    void connect();
+    void write();
+    void read();
+    void bytes_came(std::size_t count);
+    void take_answers();
+    void finish(exchange_end end, http1::response answer);
+    void stream_ended(bool at_end);
+    void close();
+    void set_timer(duration wait);
+
+    asio::ip::tcp::socket socket;
+    asio::ip::tcp::endpoint where;
+    asio::steady_timer timer;
+    http1::message_reader reader;
+    std::array<char, 8192> buffer{};
+    std::string pending;
+    std::optional<exchange> current;
+    bool connected = false;
+    bool closed = false;
+    bool written = false;
+    bool keep = true;
+};
+
+} // namespace azureshore::gateway::detail
--- /dev/null
+++ b/src/azureshore/gateway/internal/caller_connection.cpp
@@ -0,0 +1,263 @@
+#include "azureshore/gateway/internal/caller_connection.hpp"
+
+#include <asio/write.hpp>
+
+#include <utility>
+
+namespace azureshore::gateway::detail {
+
+namespace {
+
+constexpr int status_bad_request = 400;
+constexpr int status_request_timeout = 408;
+constexpr int status_content_too_large = 413;
+constexpr int status_header_too_large = 431;
+
+// How long a closing connection is read, so that the answer is not lost by a reset.
+constexpr duration linger_time = std::chrono::milliseconds(500);
+// Bytes that a caller may send ahead of the answer to its request; more is left in the socket.
+constexpr std::size_t most_ahead = 64UL * 1024UL;
+// A body may take this many times longer than a header.
+constexpr int body_patience = 4;
+// An answer that its caller doesn't read is given up after this time.
+constexpr duration write_limit = std::chrono::seconds(20);
+
+} // namespace
+
+caller_connection::caller_connection(asio::ip::tcp::socket accepted, caller_owner& port)
+    : socket(std::move(accepted)), owner(port), timer(this->socket.get_executor()),
+      reader(http1::message_kind::request,
+             {port.limits().max_header_bytes, port.limits().max_body_bytes})
+{
+}
+
+void caller_connection::start()
+{
+    asio::error_code ignored;
+    this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    this->set_timer(this->owner.limits().idle_timeout);
+    this->read();
+}
+
+bool caller_connection::idle() const
+{
+    return this->now == phase::closed || this->now == phase::lingering ||
+           (this->now == phase::reading && !this->reader.begun());
+}
+
+void caller_connection::read()
+{
+    if (this->reading || this->now == phase::closed || this->pending.size() >= most_ahead) {
+        return;
+    }
+    this->reading = true;
+    this->socket.async_read_some(
+        asio::buffer(this->buffer),
+        [self = this->shared_from_this()](const asio::error_code& error, std::size_t count) {
+            self->reading = false;
+            if (self->now == phase::closed) {
+                return;
+            }
+            if (error) {
+                self->peer_ended();
+                return;
+            }
+            self->bytes_came(count);
+        });
+}
+
+void caller_connection::bytes_came(std::size_t count)
+{
+    if (this->now != phase::lingering) {
+        this->pending.append(this->buffer.data(), count);
+    }
+    if (this->now == phase::reading) {
+        this->take_bytes();
+    }
+    this->read();
+}
+
+void caller_connection::take_bytes()
+{
+    if (!this->reader.begun()) {
+        this->reader.set_limits(
+            {this->owner.limits().max_header_bytes, this->owner.limits().max_body_bytes});
+    }
+    const auto used = this->reader.feed(this->pending);
+    this->pending.erase(0, used);
+    switch (this->reader.state()) {
+    case http1::read_state::need_more:
+        this->timer_for_request();
+        return;
+    case http1::read_state::complete:
+        this->request_complete();
+        return;
+    case http1::read_state::malformed:
+        this->reject(status_bad_request);
+        return;
+    case http1::read_state::header_too_large:
+        this->reject(status_header_too_large);
+        return;
+    case http1::read_state::body_too_large:
+        this->reject(status_content_too_large);
+        return;
+    }
+}
+
+// Sets the time for the header when its first byte comes, and that for the body after it.
+void caller_connection::timer_for_request()
+{
+    if (!this->reader.begun()) {
+        return;
+    }
+    if (!this->header_timer) {
+        this->header_timer = true;
+        this->set_timer(this->owner.limits().header_timeout);
+    }
+    if (this->reader.expects_continue() && !this->continue_sent) {
+        this->continue_sent = true;
+        auto line = std::make_shared<std::string>("HTTP/1.1 100 Continue\r\n\r\n");
+        asio::async_write(this->socket, asio::buffer(*line),
+                          [line, self = this->shared_from_this()](const asio::error_code&,
+                                                                  std::size_t) {});
+    }
+    if (this->reader.header_complete() && !this->body_timer) {
+        this->body_timer = true;
+        this->set_timer(this->owner.limits().header_timeout * body_patience);
+    }
+}
+
+void caller_connection::request_complete()
+{
+    auto whole = this->reader.take_request();
+    this->now = phase::waiting;
+    this->timer.cancel();
+    this->header_timer = false;
+    this->body_timer = false;
+    this->continue_sent = false;
+    this->to_head = whole.method == "HEAD";
+    this->close_after = !whole.keep_alive;
+    this->request = this->owner.request_came(this->shared_from_this());
+    this->owner.handle(*this->request, std::move(whole));
+}
+
+void caller_connection::answer(http1::response answer)
+{
+    if (this->now != phase::waiting) {
+        return;
+    }
+    this->request.reset();
+    this->close_after = this->close_after || !answer.keep_alive || !this->owner.keeps_connections();
+    answer.keep_alive = !this->close_after;
+    this->write(http1::write_response(answer, this->to_head));
+}
+
+void caller_connection::reject(int status)
+{
+    this->owner.rejected(status);
+    this->close_after = true;
+    http1::response refused;
+    refused.status = status;
+    refused.keep_alive = false;
+    this->write(http1::write_response(refused, false));
+}
+
+void caller_connection::write(std::string bytes)
+{
+    this->now = phase::writing;
+    this->outgoing = std::move(bytes);
+    this->set_timer(write_limit);
+    asio::async_write(this->socket, asio::buffer(this->outgoing),
+                      [self = this->shared_from_this()](const asio::error_code& error,
+                                                        std::size_t) {
+                          if (self->now == phase::closed) {
+                              return;
+                          }
+                          if (error) {
+                              self->close();
+                              return;
+                          }
+                          self->written();
+                      });
+}
+
+void caller_connection::written()
+{
+    if (this->close_after) {
+        this->linger();
+        return;
+    }
+    this->now = phase::reading;
+    this->set_timer(this->owner.limits().idle_timeout);
+    if (!this->pending.empty()) {
+        this->take_bytes();
+    }
+    this->read();
+}
+
+// Closes the sending side and reads on for a moment: closing with unread bytes would reset the
+// connection, and the caller could lose the answer.
+void caller_connection::linger()
+{
+    this->now = phase::lingering;
+    this->pending.clear();
+    asio::error_code ignored;
+    this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    this->set_timer(linger_time);
+    this->read();
+}
+
+void caller_connection::peer_ended()
+{
+    // A caller that has closed its sending side has left: it could not be told apart from one
+    // that has closed both.
+    this->close();
+}
+
+void caller_connection::close_if_idle()
+{
+    if (this->now == phase::reading && !this->reader.begun()) {
+        this->close();
+    }
+}
+
+void caller_connection::close()
+{
+    if (this->now == phase::closed) {
+        return;
+    }
+    const auto self = this->shared_from_this();
+    this->now = phase::closed;
+    asio::error_code ignored;
+    this->socket.close(ignored);
+    this->timer.cancel();
+    if (this->request) {
+        this->owner.caller_left(*std::exchange(this->request, std::nullopt));
+    }
+    this->owner.closed(self);
+}
+
+void caller_connection::set_timer(duration wait)
+{
+    this->timer.expires_after(wait);
+    this->timer.async_wait([weak = this->weak_from_this()](const asio::error_code& error) {
+        const auto self = weak.lock();
+        // A handler may already be queued when its timer is set anew.
+        if (self && !error && self->timer.expiry() <= asio::steady_timer::clock_type::now()) {
+            self->timer_expired();
+        }
+    });
+}
+
+void caller_connection::timer_expired()
+{
+    if (this->now == phase::reading && this->reader.begun()) {
+        this->reject(status_request_timeout);
+        return;
+    }
+    if (this->now != phase::waiting) {
+        this->close();
+    }
+}
+
+} // namespace azureshore::gateway::detail
--- /dev/null
+++ b/src/azureshore/gateway/internal/caller_connection.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "azureshore/balance/traffic_configuration.hpp"
+#include "azureshore/core/ids.hpp"
+#include "azureshore/http1/message_reader.hpp"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace azureshore::gateway::detail {
+
+class caller_connection;
+
+// What a caller's connection needs of the port that it belongs to; the port outlives it.
+class caller_owner {
+public:
+    caller_owner() = default;
+    caller_owner(const caller_owner&) = delete;
+    caller_owner& operator=(const caller_owner&) = delete;
+    caller_owner(caller_owner&&) = delete;
+    caller_owner& operator=(caller_owner&&) = delete;
+    virtual ~caller_owner() = default;
+
+    virtual request_number request_came(const std::shared_ptr<caller_connection>& from) = 0;
+    virtual void handle(request_number number, http1::request request) = 0;
+    virtual void caller_left(request_number number) = 0;
+    virtual void rejected(int status) = 0;
+    virtual void closed(const std::shared_ptr<caller_connection>& which) = 0;
+    [[nodiscard]] virtual const balance::caller_limits& limits() const = 0;
+    [[nodiscard]] virtual bool keeps_connections() const = 0;
+};
+
+// One connection of a caller: reads a request, waits for its answer, sends it, and reads the next.
+class caller_connection : public std::enable_shared_from_this<caller_connection> {
+public:
+    caller_connection(asio::ip::tcp::socket accepted, caller_owner& port);
+
+    void start();
+    void answer(http1::response answer);
+    void close_if_idle();
+    void close();
+
+    // Whether no request is read, waiting or being answered.
+    [[nodiscard]] bool idle() const;
+
+private:
+    enum class phase { reading, waiting, writing, lingering, closed };
+
+    void read();
+    void bytes_came(std::size_t count);
+    void take_bytes();
+    void request_complete();
+    void reject(int status);
+    void write(std::string bytes);
+    void written();
+    void linger();
+    void peer_ended();
+    void set_timer(duration wait);
+    void timer_expired();
+    void timer_for_request();
+
+    asio::ip::tcp::socket socket;
+    caller_owner& owner;
+    asio::steady_timer timer;
+    http1::message_reader reader;
+    std::array<char, 8192> buffer{};
+    // Bytes that came and are not parsed yet.
+    std::string pending;
+    std::string outgoing;
+    phase now = phase::reading;
+    bool reading = false;
+    bool close_after = false;
+    bool to_head = false;
+    bool continue_sent = false;
+    bool header_timer = false;
+    bool body_timer = false;
+    std::optional<request_number> request;
+};
+
+} // namespace azureshore::gateway::detail
--- /dev/null
+++ b/src/azureshore/http1/message.cpp
@@ -0,0 +1,125 @@
+#include "azureshore/http1/message.hpp"
+
+#include <algorithm>
+#include <array>
+#include <http_parser.h>
+
+namespace azureshore::http1 {
+
+namespace {
+
+constexpr std::array<std::string_view, 8> connection_fields{
+    "Connection",          "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+    "Proxy-Connection",    "TE",         "Transfer-Encoding",  "Upgrade",
+};
+
+constexpr int first_final_status = 200;
+constexpr int no_content = 204;
+constexpr int not_modified = 304;
+
+bool concerns_connection(std::string_view name)
+{
+    return std::any_of(connection_fields.begin(), connection_fields.end(),
+                       [&](std::string_view each) { return net::same_name(each, name); });
+}
+
+// The names that Connection lists concern this connection too.
+std::vector<std::string_view> connection_options(const std::vector<net::field>& fields)
+{
+    std::vector<std::string_view> options;
+    for (const auto& each : fields) {
+        if (net::same_name(each.name, "Connection")) {
+            const auto members = net::list_members(each.value);
+            options.insert(options.end(), members.begin(), members.end());
+        }
+    }
+    return options;
+}
+
+void append_fields(std::string& out, const std::vector<net::field>& fields)
+{
+    for (const auto& each : fields) {
+        out.append(each.name).append(": ").append(each.value).append("\r\n");
+    }
+}
+
+void append_length(std::string& out, std::size_t length)
+{
+    out.append("Content-Length: ").append(std::to_string(length)).append("\r\n");
+}
+
+bool has_usual_body(std::string_view method)
+{
+    return method == "POST" || method == "PUT" || method == "PATCH";
+}
+
+} // namespace
+
+std::vector<net::field> end_to_end(const std::vector<net::field>& fields)
+{
+    const auto options = connection_options(fields);
+    std::vector<net::field> kept;
+    kept.reserve(fields.size());
+    for (const auto& each : fields) {
+        const bool listed = std::any_of(options.begin(), options.end(), [&](auto option) {
+            return net::same_name(option, each.name);
+        });
+        if (!listed && !concerns_connection(each.name) &&
+            !net::same_name(each.name, "Content-Length") && !net::same_name(each.name, "Expect") &&
+            !net::same_name(each.name, "Trailer")) {
+            kept.push_back(each);
+        }
+    }
+    return kept;
+}
+
+std::string write_request(const request& out)
+{
+    std::string bytes;
+    bytes.reserve(512 + out.body.size());
+    bytes.append(out.method).append(" ").append(out.target).append(" HTTP/1.1\r\n");
+    append_fields(bytes, out.fields);
+    if (!out.body.empty() || has_usual_body(out.method)) {
+        append_length(bytes, out.body.size());
+    }
+    bytes.append("\r\n").append(out.body);
+    return bytes;
+}
+
+std::string write_response(const response& out, bool to_head)
+{
+    std::string bytes;
+    bytes.reserve(512 + out.body.size());
+    bytes.append("HTTP/1.1 ").append(std::to_string(out.status)).append(" ");
+    bytes.append(reason_of(out.status)).append("\r\n");
+    append_fields(bytes, out.fields);
+    const bool bodyless =
+        to_head || out.status == no_content || out.status == not_modified ||
+        out.status < first_final_status;
+    if (!bodyless) {
+        append_length(bytes, out.body.size());
+    }
+    if (!out.keep_alive) {
+        bytes.append("Connection: close\r\n");
+    }
+    bytes.append("\r\n");
+    if (!bodyless) {
+        bytes.append(out.body);
+    }
+    return bytes;
+}
+
+std::string_view reason_of(int status)
+{
+    switch (status) {
+#define AZURESHORE_REASON(number, name, text)                                                      \
+    case number:                                                                                   \
+        return #text;
+        HTTP_STATUS_MAP(AZURESHORE_REASON)
+#undef AZURESHORE_REASON
+    default:
+        return "";
+    }
+}
+
+} // namespace azureshore::http1
--- /dev/null
+++ b/src/azureshore/http1/message_reader.cpp
@@ -0,0 +1,304 @@
+#include "azureshore/http1/message_reader.hpp"
+
+#include <http_parser.h>
+
+namespace azureshore::http1 {
+
+namespace {
+
+constexpr int first_final_status = 200;
+constexpr std::size_t max_fields = 200;
+
+} // namespace
+
+// Collects what http_parser finds.
+class message_reader::parser {
+public:
+    parser(message_kind of, reader_limits most) : kind(of), limits(most) { this->reset(); }
+
+    std::size_t feed(std::string_view bytes)
+    {
+        std::size_t used = 0;
+        while (used < bytes.size() && this->now == read_state::need_more) {
+            const auto part = bytes.substr(used);
+            if (!this->started && skip_empty_line(part)) {
+                ++used;
+                continue;
+            }
+            this->started = true;
+            used += http_parser_execute(&this->engine, &settings(), part.data(), part.size());
+            this->check();
+        }
+        return used;
+    }
+
+    void end_of_stream()
+    {
+        if (this->now == read_state::need_more && this->started) {
+            http_parser_execute(&this->engine, &settings(), nullptr, 0);
+            this->check();
+        }
+    }
+
+    void reset()
+    {
+        http_parser_init(&this->engine,
+                         this->kind == message_kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
+        this->engine.data = this;
+        this->now = read_state::need_more;
+        this->started = false;
+        this->head_done = false;
+        this->header_bytes = 0;
+        this->target.clear();
+        this->fields.clear();
+        this->body.clear();
+        this->in_value = false;
+    }
+
+    http_parser engine{};
+    message_kind kind;
+    reader_limits limits;
+    read_state now = read_state::need_more;
+    bool started = false;
+    bool head_done = false;
+    bool no_body = false;
+    bool in_value = false;
+    std::size_t header_bytes = 0;
+    std::string target;
+    std::vector<net::field> fields;
+    std::string body;
+
+private:
+    static parser& self(http_parser* engine) { return *static_cast<parser*>(engine->data); }
+
+    // Empty lines before a message are allowed (RFC 9112, section 2.2).
+    static bool skip_empty_line(std::string_view part)
+    {
+        return part.front() == '\r' || part.front() == '\n';
+    }
+
+    static const http_parser_settings& settings()
+    {
+        static const http_parser_settings made = make_settings();
+        return made;
+    }
+
+    static http_parser_settings make_settings()
+    {
+        http_parser_settings made;
+        http_parser_settings_init(&made);
+        made.on_url = [](http_parser* engine, const char* at, std::size_t length) {
+            return self(engine).add_header(self(engine).target, at, length);
+        };
+        made.on_status = [](http_parser* engine, const char*, std::size_t length) {
+            return self(engine).count(length);
+        };
+        made.on_header_field = [](http_parser* engine, const char* at, std::size_t length) {
+            return self(engine).add_name(at, length);
+        };
+        made.on_header_value = [](http_parser* engine, const char* at, std::size_t length) {
+            return self(engine).add_value(at, length);
+        };
+        made.on_headers_complete = [](http_parser* engine) {
+            return self(engine).header_ended();
+        };
+        made.on_body = [](http_parser* engine, const char* at, std::size_t length) {
+            return self(engine).add_body(at, length);
+        };
+        made.on_message_complete = [](http_parser* engine) {
+            return self(engine).message_ended();
+        };
+        return made;
+    }
+
+    int count(std::size_t length)
+    {
+        this->header_bytes += length;
+        if (this->header_bytes > this->limits.max_header_bytes ||
+            this->fields.size() > max_fields) {
+            this->now = read_state::header_too_large;
+            return 1;
+        }
+        return 0;
+    }
+
+    int add_header(std::string& to, const char* at, std::size_t length)
+    {
+        to.append(at, length);
+        return this->count(length);
+    }
+
+    int add_name(const char* at, std::size_t length)
+    {
+        if (this->head_done) {
+            return this->count(length);
+        }
+        if (this->in_value || this->fields.empty()) {
+            this->fields.emplace_back();
+            this->in_value = false;
+        }
+        // Four more for the colon, the space and the line's end.
+        this->header_bytes += 4;
+        return this->add_header(this->fields.back().name, at, length);
+    }
+
+    // Trailers after a chunked body are dropped: they must not pass for fields of the header.
+    int add_value(const char* at, std::size_t length)
+    {
+        if (this->head_done) {
+            return this->count(length);
+        }
+        this->in_value = true;
+        return this->add_header(this->fields.back().value, at, length);
+    }
+
+    int header_ended()
+    {
+        this->head_done = true;
+        if (this->kind == message_kind::request && !this->framed_safely()) {
+            this->now = read_state::malformed;
+            return -1;
+        }
+        const bool sized = (this->engine.flags & F_CONTENTLENGTH) != 0;
+        if (sized && this->engine.content_length > this->limits.max_body_bytes && !this->no_body) {
+            this->now = read_state::body_too_large;
+            return -1;
+        }
+        return this->no_body ? 1 : 0;
+    }
+
+    // A coding other than exactly "chunked", or chunks together with a length, can be framed in
+    // two ways.
+    [[nodiscard]] bool framed_safely() const
+    {
+        bool chunked = false;
+        bool sized = false;
+        for (const auto& each : this->fields) {
+            if (net::same_name(each.name, "Transfer-Encoding")) {
+                if (chunked || !net::same_name(net::trimmed(each.value), "chunked")) {
+                    return false;
+                }
+                chunked = true;
+            }
+            sized = sized || net::same_name(each.name, "Content-Length");
+        }
+        return !(chunked && sized);
+    }
+
+    int add_body(const char* at, std::size_t length)
+    {
+        if (this->body.size() + length > this->limits.max_body_bytes) {
+            this->now = read_state::body_too_large;
+            return 1;
+        }
+        this->body.append(at, length);
+        return 0;
+    }
+
+    int message_ended()
+    {
+        if (this->kind == message_kind::response &&
+            this->engine.status_code < first_final_status) {
+            this->started = false;
+            this->head_done = false;
+            this->fields.clear();
+            this->in_value = false;
+            return 0;
+        }
+        this->now = read_state::complete;
+        http_parser_pause(&this->engine, 1);
+        return 0;
+    }
+
+    void check()
+    {
+        const auto error = HTTP_PARSER_ERRNO(&this->engine);
+        if (this->now != read_state::need_more) {
+            return;
+        }
+        if (this->engine.upgrade != 0) {
+            this->now = read_state::malformed;
+        }
+        else if (error == HPE_HEADER_OVERFLOW) {
+            this->now = read_state::header_too_large;
+        }
+        else if (error != HPE_OK) {
+            this->now = read_state::malformed;
+        }
+    }
+};
+
+message_reader::message_reader(message_kind kind, reader_limits limits)
+    : inner(std::make_unique<parser>(kind, limits))
+{
+}
+
+message_reader::~message_reader() = default;
+
+std::size_t message_reader::feed(std::string_view bytes)
+{
+    return this->inner->feed(bytes);
+}
+
+void message_reader::end_of_stream()
+{
+    this->inner->end_of_stream();
+}
+
+read_state message_reader::state() const
+{
+    return this->inner->now;
+}
+
+bool message_reader::begun() const
+{
+    return this->inner->started;
+}
+
+bool message_reader::header_complete() const
+{
+    return this->inner->head_done;
+}
+
+bool message_reader::expects_continue() const
+{
+    return this->inner->head_done &&
+           net::same_name(net::find_field(this->inner->fields, "Expect"), "100-continue");
+}
+
+request message_reader::take_request()
+{
+    auto& from = *this->inner;
+    request taken;
+    taken.method = http_method_str(static_cast<http_method>(from.engine.method));
+    taken.target = std::move(from.target);
+    taken.fields = std::move(from.fields);
+    taken.body = std::move(from.body);
+    taken.keep_alive = http_should_keep_alive(&from.engine) != 0;
+    from.reset();
+    return taken;
+}
+
+response message_reader::take_response()
+{
+    auto& from = *this->inner;
+    response taken;
+    taken.status = static_cast<int>(from.engine.status_code);
+    taken.fields = std::move(from.fields);
+    taken.body = std::move(from.body);
+    taken.keep_alive = http_should_keep_alive(&from.engine) != 0;
+    from.reset();
+    return taken;
+}
+
+void message_reader::set_limits(reader_limits limits)
+{
+    this->inner->limits = limits;
+}
+
+void message_reader::expect_no_body(bool none)
+{
+    this->inner->no_body = none;
+}
+
+} // namespace azureshore::http1
--- /dev/null
+++ b/src/azureshore/http1/message_reader.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "azureshore/http1/message.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string_view>
+
+namespace azureshore::http1 {
+
+// What the reader knows after the bytes that it was given.
+enum class read_state : std::uint8_t {
+    need_more,
+    complete,
+    malformed,
+    header_too_large,
+    body_too_large,
+};
+
+struct reader_limits {
+    // Most bytes of the start line and the header fields together.
+    std::size_t max_header_bytes = 16UL * 1024UL;
+    std::size_t max_body_bytes = 1024UL * 1024UL;
+};
+
+enum class message_kind : std::uint8_t { request, response };
+
+// Reads one message after the other from the bytes of a connection. Requests with both a length
+// and chunks, and chunks under any other coding, are malformed: two readers could frame them
+// differently.
+class message_reader {
+public:
+    message_reader(message_kind kind, reader_limits limits);
+    ~message_reader();
+    message_reader(const message_reader&) = delete;
+    message_reader& operator=(const message_reader&) = delete;
+    message_reader(message_reader&&) = delete;
+    message_reader& operator=(message_reader&&) = delete;
+
+    // Takes the next bytes and says how many of them belong to the message under way; those after
+    // a complete message are left for the next one.
+    std::size_t feed(std::string_view bytes);
+
+    // The peer has closed its side: completes a response that ends with its connection.
+    void end_of_stream();
+
+    [[nodiscard]] read_state state() const;
+
+    // Whether any byte of the message under way has come, and whether its header has come whole.
+    [[nodiscard]] bool begun() const;
+    [[nodiscard]] bool header_complete() const;
+
+    // Whether the sender of the request waits for 100 Continue before it sends the body.
+    [[nodiscard]] bool expects_continue() const;
+
+    // The message, once complete; the reader starts on the next one.
+    request take_request();
+    response take_response();
+
+    // Limits for the messages to come.
+    void set_limits(reader_limits limits);
+
+    // Before a response is read: whether it answers a HEAD request and so has no body.
+    void expect_no_body(bool none);
+
+private:
+    class parser;
+    std::unique_ptr<parser> inner;
+};
+
+} // namespace azureshore::http1
--- a/src/azureshore/settings/daemon_settings.cpp
+++ b/src/azureshore/settings/daemon_settings.cpp
@@ -1,50 +1,11 @@
 #include "azureshore/settings/daemon_settings.hpp"
 
-#include <fstream>
-#include <sstream>
+#include "azureshore/settings/assign.hpp"
 
 namespace azureshore::settings {
 
 namespace {
 
-using assigner = std::function<void(const found_value&)>;
-
-template <class Id>
-assigner to_id(Id& target)
-{
-    return [&target](const found_value& found) {
-        target = Id{found.text};
-    };
-}
-
-assigner to_address(address& target)
-{
-    return [&target](const found_value& found) {
-        target = found.where;
-    };
-}
-
-assigner to_size(std::size_t& target)
-{
-    return [&target](const found_value& found) {
-        target = static_cast<std::size_t>(found.number);
-    };
-}
-
-assigner to_duration(duration& target)
-{
-    return [&target](const found_value& found) {
-        target = std::chrono::milliseconds(found.number);
-    };
-}
-
-assigner to_list(std::vector<std::string>& target)
-{
-    return [&target](const found_value& found) {
-        target = found.list;
-    };
-}
-
 constexpr std::int64_t most_threads = 64;
 constexpr std::int64_t most_body = 64LL * 1024 * 1024;
 constexpr std::int64_t hour_ms = 3'600'000;
@@ -120,15 +81,11 @@
 
 std::variant<daemon_settings, std::vector<problem>> load_daemon_settings(const std::string& file)
 {
-    std::ifstream in(file, std::ios::binary);
-    std::ostringstream text;
-    if (in) {
-        text << in.rdbuf();
-    }
-    if (!in || !text) {
-        return std::vector<problem>{{file, 0, "", "no readable file", "a settings file"}};
+    const auto text = read_text_file(file);
+    if (!text) {
+        return std::vector<problem>{unreadable(file)};
     }
-    return parse_daemon_settings(file, text.str());
+    return parse_daemon_settings(file, *text);
 }
 
 } // namespace azureshore::settings
--- /dev/null
+++ b/src/azureshore/settings/gateway_settings.cpp
@@ -0,0 +1,90 @@
+#include "azureshore/settings/gateway_settings.hpp"
+
+#include "azureshore/settings/assign.hpp"
+
+namespace azureshore::settings {
+
+namespace {
+
+constexpr std::int64_t hour_ms = 3'600'000;
+constexpr std::int64_t most_sends = 1'000'000;
+constexpr std::int64_t most_lines = 1'000'000;
+
+std::vector<rule> place_rules(gateway_settings& target)
+{
+    return {
+        {"vm.name", value_kind::text, true, "", 0, 0, "Name of this VM.", to_id(target.name)},
+        {"vm.data_centre", value_kind::text, true, "", 0, 0, "Data centre this VM stands in.",
+         to_id(target.data_centre)},
+        {"listen.callers", value_kind::address, true, "", 0, 0, "Where callers' requests come in.",
+         to_address(target.callers)},
+        {"listen.ready", value_kind::address, true, "", 0, 0,
+         "Where the platform's balancer asks whether this daemon is ready.",
+         to_address(target.ready)},
+        {"listen.peers", value_kind::address, true, "", 0, 0,
+         "Where other daemons' datagrams come in; the port is the same on all VMs.",
+         to_address(target.peers)},
+        {"listen.metrics", value_kind::address, true, "", 0, 0, "Where `/metrics` is served.",
+         to_address(target.metrics)},
+        {"store.address", value_kind::address, true, "", 0, 0, "The platform's store.",
+         to_address(target.store)},
+    };
+}
+
+std::vector<rule> tuning_rules(gateway_settings& target)
+{
+    return {
+        {"store.timeout", value_kind::milliseconds, false, "1000", 10, hour_ms,
+         "Longest wait for an answer of the store beyond the wait that it was asked for.",
+         to_duration(target.store_timeout)},
+        {"bounds.apply_within", value_kind::milliseconds, false, "2000", 100, hour_ms,
+         "A configuration, or that a backend server leaves, has effect within this time.",
+         to_duration(target.apply_within)},
+        {"bounds.stop_within", value_kind::milliseconds, false, "6000", 100, hour_ms,
+         "A planned stop ends within this time.", to_duration(target.stop_within)},
+        {"bounds.retry_ratio", value_kind::fraction, false, "0.2", 0, 1,
+         "Second sends of all daemons to a service, as a share of its requests.",
+         to_fraction(target.retry_ratio)},
+        {"bounds.retry_slack", value_kind::fraction, false, "50", 0, most_sends,
+         "Second sends of all daemons to a service in one window, beyond that share.",
+         to_fraction(target.retry_slack)},
+        {"bounds.retry_window", value_kind::milliseconds, false, "10000", 100, hour_ms,
+         "The window in which second sends are counted.", to_duration(target.retry_window)},
+        {"logs.lines_per_second", value_kind::whole_number, false, "100", 0, most_lines,
+         "Most log lines a second; more are counted and dropped.",
+         to_size(target.log_lines_per_second)},
+    };
+}
+
+} // namespace
+
+std::vector<rule> gateway_rules(gateway_settings& target)
+{
+    auto rules = place_rules(target);
+    auto tuning = tuning_rules(target);
+    rules.insert(rules.end(), tuning.begin(), tuning.end());
+    return rules;
+}
+
+std::variant<gateway_settings, std::vector<problem>> parse_gateway_settings(std::string_view file,
+                                                                            std::string_view text)
+{
+    gateway_settings parsed;
+    auto problems = apply_rules(file, text, gateway_rules(parsed));
+    if (!problems.empty()) {
+        return problems;
+    }
+    return parsed;
+}
+
+std::variant<gateway_settings, std::vector<problem>>
+load_gateway_settings(const std::string& file)
+{
+    const auto text = read_text_file(file);
+    if (!text) {
+        return std::vector<problem>{unreadable(file)};
+    }
+    return parse_gateway_settings(file, *text);
+}
+
+} // namespace azureshore::settings
--- /dev/null
+++ b/src/azureshore/settings/gateway_settings.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "azureshore/core/address.hpp"
+#include "azureshore/core/ids.hpp"
+#include "azureshore/core/time.hpp"
+#include "azureshore/settings/schema.hpp"
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace azureshore::settings {
+
+// What a daemon learns from its settings file when its configuration and its backend servers come
+// from the platform's store.
+struct gateway_settings {
+    vm_id name;
+    data_centre_id data_centre;
+
+    // Where callers come, where the platform's balancer asks for readiness, where other daemons'
+    // messages come in, and where metrics are served.
+    address callers;
+    address ready;
+    address peers;
+    address metrics;
+
+    address store;
+    duration store_timeout = std::chrono::seconds(1);
+
+    // A configuration or a leaving backend server has effect within this time.
+    duration apply_within = std::chrono::seconds(2);
+    // A planned stop ends within this time.
+    duration stop_within = std::chrono::seconds(6);
+
+    double retry_ratio = 0.2;
+    double retry_slack = 50;
+    duration retry_window = std::chrono::seconds(10);
+
+    std::size_t log_lines_per_second = 100;
+};
+
+// The rules of such a file; their values go to `target`, which must outlive them.
+std::vector<rule> gateway_rules(gateway_settings& target);
+
+// The settings of a text, or every fault in it. `file` is used in messages alone.
+std::variant<gateway_settings, std::vector<problem>> parse_gateway_settings(std::string_view file,
+                                                                            std::string_view text);
+
+// Reads a file; one that can't be read is a fault of its own.
+std::variant<gateway_settings, std::vector<problem>>
+load_gateway_settings(const std::string& file);
+
+} // namespace azureshore::settings
--- a/src/azureshore/settings/schema.cpp
+++ b/src/azureshore/settings/schema.cpp
@@ -1,6 +1,7 @@
 #include "azureshore/settings/schema.hpp"
 
 #include <algorithm>
+#include <fstream>
 #include <optional>
 #include <sstream>
 
@@ -49,6 +50,8 @@
         return "a whole number from " + range_of(each);
     case value_kind::milliseconds:
         return "milliseconds from " + range_of(each);
+    case value_kind::fraction:
+        return "a number from " + range_of(each);
     case value_kind::flag:
         return "true or false";
     case value_kind::key_list:
@@ -93,6 +96,18 @@
     return found;
 }
 
+std::optional<found_value> read_fraction(const toml::node& node, const rule& each)
+{
+    const auto number = node.value<double>();
+    if (!number || !node.is_number() || *number < static_cast<double>(each.least) ||
+        *number > static_cast<double>(each.most)) {
+        return std::nullopt;
+    }
+    found_value found;
+    found.fraction = *number;
+    return found;
+}
+
 std::optional<found_value> read_flag(const toml::node& node)
 {
     const auto flag = node.value_exact<bool>();
@@ -138,6 +153,8 @@
     case value_kind::whole_number:
     case value_kind::milliseconds:
         return read_number(node, each);
+    case value_kind::fraction:
+        return read_fraction(node, each);
     case value_kind::flag:
         return read_flag(node);
     case value_kind::key_list:
@@ -258,6 +275,24 @@
     return problems;
 }
 
+std::optional<std::string> read_text_file(const std::string& file)
+{
+    std::ifstream in(file, std::ios::binary);
+    std::ostringstream text;
+    if (in) {
+        text << in.rdbuf();
+    }
+    if (!in || !text) {
+        return std::nullopt;
+    }
+    return text.str();
+}
+
+problem unreadable(const std::string& file)
+{
+    return {file, 0, "", "no readable file", "a settings file"};
+}
+
 std::string to_reference(const std::vector<rule>& rules)
 {
     std::string table = "| key | allowed | default | meaning |\n|---|---|---|---|\n";
--- a/src/azureshore/settings/schema.hpp
+++ b/src/azureshore/settings/schema.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -12,12 +13,13 @@
 namespace azureshore::settings {
 
 // What a key of a settings file may hold.
-enum class value_kind { text, address, whole_number, milliseconds, flag, key_list };
+enum class value_kind { text, address, whole_number, milliseconds, fraction, flag, key_list };
 
 // A value found in a file, already of the kind its rule names.
 struct found_value {
     std::string text;
     std::int64_t number = 0;
+    double fraction = 0;
     bool flag = false;
     azureshore::address where;
     std::vector<std::string> list;
@@ -31,7 +33,7 @@
     bool required = false;
     // Shown in the reference for a key that is not required.
     std::string_view fallback;
-    // For whole numbers and milliseconds.
+    // For numbers of every kind.
     std::int64_t least = 0;
     std::int64_t most = 0;
     std::string_view meaning;
@@ -58,6 +60,12 @@
 std::vector<problem> apply_rules(std::string_view file, std::string_view text,
                                  const std::vector<rule>& rules);
 
+// The text of a file; nothing if it can't be read.
+std::optional<std::string> read_text_file(const std::string& file);
+
+// The fault of a file that can't be read.
+problem unreadable(const std::string& file);
+
 // The rules as a Markdown table, for the settings reference.
 std::string to_reference(const std::vector<rule>& rules);
 
--- a/src/azureshored/main.cpp
+++ b/src/azureshored/main.cpp
@@ -1,7 +1,10 @@
 #include "azureshore/daemon/entry_daemon.hpp"
+#include "azureshore/daemon/gateway_daemon.hpp"
 #include "azureshore/daemon/version.hpp"
 #include "azureshore/observe/log.hpp"
 #include "azureshore/settings/daemon_settings.hpp"
+#include "azureshore/settings/gateway_settings.hpp"
+#include "platform/users_platform.hpp"
 
 #include <boost/program_options.hpp>
 
@@ -24,6 +27,7 @@
     known.add_options()("help", "shows this text")("version", "shows the version")(
         "settings", options::value<std::string>(),
         "FILE  the settings file (TOML)")("check-settings", "checks the settings file alone")(
+        "gateway", "takes the configuration and the backend servers from the platform's store")(
         "settings-reference", "shows every settings key as a Markdown table");
     return known;
 }
@@ -34,30 +38,56 @@
     return daemon_ns::exit_wrong_use;
 }
 
-void print_reference()
+void print_reference(bool of_gateway)
 {
+    using namespace azureshore::settings;
     daemon_settings unused;
-    std::cout << azureshore::settings::to_reference(azureshore::settings::daemon_rules(unused));
+    gateway_settings unused_too;
+    std::cout << to_reference(of_gateway ? gateway_rules(unused_too) : daemon_rules(unused));
+}
+
+int report(const std::vector<problem>& problems)
+{
+    for (const auto& each : problems) {
+        std::cerr << to_string(each) << '\n';
+    }
+    return daemon_ns::exit_wrong_use;
+}
+
+int settings_valid(const std::string& file)
+{
+    std::cout << file << ": settings are valid\n";
+    return daemon_ns::exit_stopped;
 }
 
 int run_with(const std::string& file, bool check_alone)
 {
     const auto loaded = azureshore::settings::load_daemon_settings(file);
     if (const auto* problems = std::get_if<std::vector<problem>>(&loaded)) {
-        for (const auto& each : *problems) {
-            std::cerr << to_string(each) << '\n';
-        }
-        return daemon_ns::exit_wrong_use;
+        return report(*problems);
     }
     if (check_alone) {
-        std::cout << file << ": settings are valid\n";
-        return daemon_ns::exit_stopped;
+        return settings_valid(file);
     }
     azureshore::observe::start_logging("azureshored");
     daemon_ns::entry_daemon running(std::get<daemon_settings>(loaded));
     return running.run();
 }
 
+int run_gateway(const std::string& file, bool check_alone)
+{
+    const auto loaded = azureshore::settings::load_gateway_settings(file);
+    if (const auto* problems = std::get_if<std::vector<problem>>(&loaded)) {
+        return report(*problems);
+    }
+    if (check_alone) {
+        return settings_valid(file);
+    }
+    daemon_ns::gateway_daemon running(std::get<azureshore::settings::gateway_settings>(loaded),
+                                      file, azureshore::users_platform::make_users_platform());
+    return running.run();
+}
+
 int run_command(const options::variables_map& values, const options::options_description& known)
 {
     if (values.count("help") > 0) {
@@ -69,13 +99,16 @@
         return daemon_ns::exit_stopped;
     }
     if (values.count("settings-reference") > 0) {
-        print_reference();
+        print_reference(values.count("gateway") > 0);
         return daemon_ns::exit_stopped;
     }
     if (values.count("settings") == 0) {
         return wrong_use("--settings FILE is needed");
     }
-    return run_with(values["settings"].as<std::string>(), values.count("check-settings") > 0);
+    const auto file = values["settings"].as<std::string>();
+    const bool check_alone = values.count("check-settings") > 0;
+    return values.count("gateway") > 0 ? run_gateway(file, check_alone)
+                                       : run_with(file, check_alone);
 }
 
 } // namespace
