Read the store by one daemon for all, and tell the others by datagrams

Ruled out: a lease in the store for the reader (two readers only cost calls, so nothing has to be agreed); heartbeats between all pairs (grow with the square of the daemons). Change: package sharing; rendezvous order, take-over after silence, members by the store and hellos.

--- a/src/azureshore/balance/backend_registry.cpp
+++ b/src/azureshore/balance/backend_registry.cpp
@@ -44,15 +44,14 @@
     return this->away || (this->back_at && now - *this->back_at < lapse_window);
 }
 
-void backend_registry::registered(time_point now, const registration& read)
+bool backend_registry::registered(const registration& read)
 {
-    static_cast<void>(now);
     if (this->outdated(read)) {
-        return;
+        return false;
     }
     this->graves.erase(read.id);
     auto& kept = this->entries[read.id];
-    kept.gone_at.reset();
+    const bool lapsed = std::exchange(kept.gone_at, std::nullopt).has_value();
     auto without_count = read;
     without_count.sequence = kept.last.sequence;
     const bool same = kept.last == without_count;
@@ -60,21 +59,23 @@
     if (!same) {
         this->hooks.changed(read);
     }
+    return !same || lapsed;
 }
 
-void backend_registry::unregistered(time_point now, const backend_id& id)
+bool backend_registry::unregistered(time_point now, const backend_id& id)
 {
     const auto found = this->entries.find(id);
     if (found == this->entries.end()) {
-        return;
+        return false;
     }
     if (this->lapse_likely(now) && !found->second.last.draining) {
         if (!found->second.gone_at) {
             found->second.gone_at = std::max(now, this->back_at.value_or(now)) + lapse_grace;
         }
-        return;
+        return true;
     }
     this->remove(id, "unregistered");
+    return true;
 }
 
 void backend_registry::listed(time_point now, const std::vector<registration>& all)
@@ -82,7 +83,7 @@
     std::set<backend_id> present;
     for (const auto& each : all) {
         present.insert(each.id);
-        this->registered(now, each);
+        this->registered(each);
     }
     std::vector<backend_id> missing;
     for (const auto& [id, kept] : this->entries) {
@@ -95,9 +96,8 @@
     }
 }
 
-void backend_registry::store_lost(time_point now)
+void backend_registry::store_lost()
 {
-    static_cast<void>(now);
     this->away = true;
 }
 
--- a/src/azureshore/balance/backend_registry.hpp
+++ b/src/azureshore/balance/backend_registry.hpp
@@ -23,17 +23,18 @@
 public:
     explicit backend_registry(registry_hooks told);
 
-    // A registration was read.
-    void registered(time_point now, const registration& read);
+    // A registration was read; returns whether it says anything new but that the backend server
+    // lives.
+    bool registered(const registration& read);
 
-    // The record says that the registration is gone.
-    void unregistered(time_point now, const backend_id& id);
+    // The record says that the registration is gone; returns whether it was there.
+    bool unregistered(time_point now, const backend_id& id);
 
     // The whole list was read: what it lacks is gone.
     void listed(time_point now, const std::vector<registration>& all);
 
     // The store stopped or started answering.
-    void store_lost(time_point now);
+    void store_lost();
     void store_back(time_point now);
 
     // Drops lapsed registrations that did not come back in time.
--- a/src/azureshore/daemon/gateway_daemon.cpp
+++ b/src/azureshore/daemon/gateway_daemon.cpp
@@ -27,6 +27,10 @@
 // A planned stop ends this long before it must, as timers fire late.
 constexpr duration stop_margin = std::chrono::milliseconds(500);
 constexpr duration stop_check = std::chrono::milliseconds(50);
+// Daemons that may send to one cold backend server: a second takes over at once when one ends.
+constexpr std::size_t cold_sharers = 2;
+// Until daemons know of each other, each assumes as many as a deployment has today.
+constexpr std::size_t usual_daemons = 16;
 constexpr int status_ok = 200;
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
@@ -51,7 +55,8 @@
         : settings(from), settings_file(std::move(file)), platform(std::move(around)),
           log({from.log_lines_per_second}, observe::descriptor_sink(STDOUT_FILENO), wall_clock_ms),
           gateway(this->executor, this->make_settings(), this->platform.words,
-                  [this](const observe::decision& made) { this->write(made); }, nullptr),
+                  [this](const observe::decision& made) { this->write(made); },
+                  [this](std::uint64_t fingerprint) { this->store.tell_suspicion(fingerprint); }),
           store(this->executor, from, this->platform, this->make_store_hooks()),
           ready_port(this->executor, from.ready, this->make_ready_hooks()),
           metrics_port(this->executor, from.metrics, this->make_metrics_hooks())
@@ -105,6 +110,14 @@
         hooks.backend_removed = [this](const backend_id& id) {
             this->gateway.backend_removed(id);
         };
+        hooks.members_changed = [this](const sharing::members& known) {
+            this->gateway.decisions().set_fleet(known.serving(), [&known](const backend_id& id) {
+                return known.part_of(id.value, cold_sharers);
+            });
+        };
+        hooks.suspected = [this](std::uint64_t fingerprint) {
+            this->gateway.decisions().suspect(fingerprint);
+        };
         hooks.log = [this](const observe::decision& event) {
             this->write(event);
         };
@@ -142,8 +155,6 @@
 
     void share_bounds()
     {
-        // Until daemons know of each other, each assumes as many as a deployment has today.
-        constexpr std::size_t usual_daemons = 16;
         this->gateway.decisions().set_fleet(usual_daemons, [](const backend_id&) {
             return 1.0 / usual_daemons;
         });
@@ -196,6 +207,7 @@
         this->stopping = true;
         this->stop_began = clock_now();
         this->gateway.stop_keeping();
+        this->store.leave();
         this->write({"stop_begins", {{"in_flight", std::to_string(this->gateway.in_flight())}}});
         this->watch_stop();
     }
--- a/src/azureshore/daemon/internal/gateway_store.cpp
+++ b/src/azureshore/daemon/internal/gateway_store.cpp
@@ -8,10 +8,7 @@
 
 namespace {
 
-// Longest wait of one read of the operators' topic, and the pause between two of the
-// registrations': both leave time for a second try within the bound of two seconds.
-constexpr std::chrono::milliseconds operators_wait(5000);
-constexpr duration registrations_interval = std::chrono::milliseconds(700);
+// How often lapsed registrations are looked at.
 constexpr duration tick_interval = std::chrono::milliseconds(250);
 
 balance::registry_hooks registry_hooks_of(const gateway_store_hooks& hooks)
@@ -41,86 +38,121 @@
 } // namespace
 
 gateway_store::gateway_store(asio::io_context& context, const settings::gateway_settings& settings,
-                             gateway_platform& around, gateway_store_hooks told)
-    : executor(context), platform(around), hooks(std::move(told)), http(context),
-      registry(registry_hooks_of(this->hooks)), timer(context)
-{
-    const auto topics = around.open_topics(this->http, settings.store, settings.store_timeout);
-    this->operators = std::make_unique<platform::topic_follower>(
-        topics.operators,
-        platform::follower_settings{operators_wait, duration{}, std::chrono::milliseconds(300)},
-        this->operators_hooks());
-    this->registrations = std::make_unique<platform::topic_follower>(
-        topics.registrations,
-        platform::follower_settings{std::chrono::milliseconds(0), registrations_interval,
-                                    std::chrono::milliseconds(300)},
-        this->registrations_hooks());
+                             const gateway_platform& around, gateway_store_hooks told)
+    : executor(context), platform(around), hooks(std::move(told)), self(settings.name),
+      peers(settings.peers), http(context),
+      topics(around.open_topics(this->http, settings.store, settings.store_timeout)),
+      registry(registry_hooks_of(this->hooks)), timer(context),
+      socket(context, settings.peers, [this](std::string_view bytes) { this->received(bytes); }),
+      sharing({settings.name, settings.peers, settings.apply_within}, this->shared_topics(),
+              this->sharing_hooks())
+{
 }
 
 void gateway_store::start()
 {
-    this->operators->start();
-    this->registrations->start();
+    this->sharing.start();
     this->tick();
 }
 
+void gateway_store::leave()
+{
+    this->sharing.leave();
+}
+
+void gateway_store::tell_suspicion(std::uint64_t fingerprint)
+{
+    this->sharing.tell_suspicion(fingerprint);
+}
+
 bool gateway_store::known() const
 {
-    return this->configured && this->registrations->listed();
+    return this->configured && this->sharing.listed();
 }
 
-void gateway_store::after(duration delay, std::function<void()> work)
+sharing::shared_topics gateway_store::shared_topics() const
 {
-    auto later = std::make_shared<asio::steady_timer>(this->executor, delay);
-    later->async_wait([later, work = std::move(work)](const asio::error_code& error) {
-        if (!error) {
-            work();
-        }
-    });
+    return {this->topics.operators, this->topics.registrations, this->topics.members};
 }
 
-platform::follower_hooks gateway_store::operators_hooks()
+sharing::sharing_hooks gateway_store::sharing_hooks()
 {
-    platform::follower_hooks made;
+    sharing::sharing_hooks made;
+    made.clock = clock_now;
     made.after = [this](duration delay, std::function<void()> work) {
-        this->after(delay, std::move(work));
+        auto later = std::make_shared<asio::steady_timer>(this->executor, delay);
+        later->async_wait([later, work = std::move(work)](const asio::error_code& error) {
+            if (!error) {
+                work();
+            }
+        });
     };
-    made.listed = [this](const std::vector<platform::keyed_record>& records) {
-        this->take_all_operator_records(records);
+    made.send = [this](const address& where, const wire::message& body) {
+        this->socket.send(where, wire::encode({this->self, body}));
+    };
+    made.announce = [this](std::function<void(bool)> done) {
+        this->topics.announce(this->self, this->peers, std::move(done));
     };
-    made.changed = [this](const platform::keyed_record& record) {
-        this->take_operator_record(record);
+    made.listed = [this](wire::shared_topic topic,
+                         const std::vector<platform::keyed_record>& records) {
+        this->listed(topic, records);
+    };
+    made.changed = [this](wire::shared_topic topic, const platform::keyed_record& record) {
+        return this->changed(topic, record);
     };
     made.lost = [this] {
-        this->hooks.log({"store_lost", {{"topic", "operators"}}});
+        this->hooks.log({"store_lost", {}});
+        this->registry.store_lost();
     };
     made.back = [this] {
-        this->hooks.log({"store_back", {{"topic", "operators"}}});
+        this->hooks.log({"store_back", {}});
+        this->registry.store_back(clock_now());
+    };
+    made.members_changed = [this] {
+        this->members_changed();
+    };
+    made.suspected = [this](std::uint64_t fingerprint) {
+        this->hooks.suspected(fingerprint);
     };
     return made;
 }
 
-platform::follower_hooks gateway_store::registrations_hooks()
+void gateway_store::received(std::string_view bytes)
 {
-    platform::follower_hooks made;
-    made.after = [this](duration delay, std::function<void()> work) {
-        this->after(delay, std::move(work));
-    };
-    made.listed = [this](const std::vector<platform::keyed_record>& records) {
+    const auto envelope = wire::decode(bytes);
+    if (!envelope.ok()) {
+        this->hooks.log({"message_unreadable", {{"why", std::string(envelope.status().message())}}});
+        return;
+    }
+    this->sharing.receive(*envelope);
+}
+
+void gateway_store::members_changed()
+{
+    const auto& known = this->sharing.known();
+    this->hooks.log({"members_changed",
+                     {{"serving", std::to_string(known.serving())},
+                      {"rank", std::to_string(known.rank())}}});
+    if (this->sharing.members_listed()) {
+        this->hooks.members_changed(known);
+    }
+}
+
+void gateway_store::listed(wire::shared_topic topic,
+                           const std::vector<platform::keyed_record>& records)
+{
+    if (topic == wire::shared_topic::operators) {
+        this->take_all_operator_records(records);
+    }
+    else {
         this->take_all_registrations(records);
-    };
-    made.changed = [this](const platform::keyed_record& record) {
-        this->take_registration(record);
-    };
-    made.lost = [this] {
-        this->hooks.log({"store_lost", {{"topic", "registrations"}}});
-        this->registry.store_lost(clock_now());
-    };
-    made.back = [this] {
-        this->hooks.log({"store_back", {{"topic", "registrations"}}});
-        this->registry.store_back(clock_now());
-    };
-    return made;
+    }
+}
+
+bool gateway_store::changed(wire::shared_topic topic, const platform::keyed_record& record)
+{
+    return topic == wire::shared_topic::operators ? this->take_operator_record(record)
+                                                  : this->take_registration(record);
 }
 
 void gateway_store::take_all_operator_records(const std::vector<platform::keyed_record>& records)
@@ -132,12 +164,12 @@
     this->hooks.out_of_service(this->out_of_service);
 }
 
-void gateway_store::take_operator_record(const platform::keyed_record& record)
+bool gateway_store::take_operator_record(const platform::keyed_record& record)
 {
     auto read = this->platform.read_operator_record(record);
     if (!read.ok()) {
         this->log_unreadable(record, read.status());
-        return;
+        return true;
     }
     if (auto* next = std::get_if<balance::traffic_configuration>(&*read)) {
         this->configured = true;
@@ -147,6 +179,7 @@
     else if (const auto* change = std::get_if<data_centre_service>(&*read)) {
         this->set_in_service(*change);
     }
+    return true;
 }
 
 void gateway_store::set_in_service(const data_centre_service& change)
@@ -178,19 +211,17 @@
     this->registry.listed(clock_now(), all);
 }
 
-void gateway_store::take_registration(const platform::keyed_record& record)
+bool gateway_store::take_registration(const platform::keyed_record& record)
 {
     if (!record.value) {
-        this->registry.unregistered(clock_now(), backend_id{record.key});
-        return;
+        return this->registry.unregistered(clock_now(), backend_id{record.key});
     }
     const auto read = this->platform.read_registration(record);
-    if (read.ok()) {
-        this->registry.registered(clock_now(), *read);
-    }
-    else {
+    if (!read.ok()) {
         this->log_unreadable(record, read.status());
+        return false;
     }
+    return this->registry.registered(*read);
 }
 
 void gateway_store::log_unreadable(const platform::keyed_record& record, const absl::Status& why)
--- a/src/azureshore/daemon/internal/gateway_store.hpp
+++ b/src/azureshore/daemon/internal/gateway_store.hpp
@@ -2,9 +2,10 @@
 
 #include "azureshore/balance/backend_registry.hpp"
 #include "azureshore/daemon/gateway_platform.hpp"
+#include "azureshore/daemon/internal/peer_socket.hpp"
 #include "azureshore/observe/decision.hpp"
-#include "azureshore/platform/topic_follower.hpp"
 #include "azureshore/settings/gateway_settings.hpp"
+#include "azureshore/sharing/store_sharing.hpp"
 
 #include <asio/steady_timer.hpp>
 
@@ -18,44 +19,56 @@
     std::function<void(const std::set<data_centre_id>&)> out_of_service;
     std::function<void(const balance::registration&)> backend_changed;
     std::function<void(const backend_id&)> backend_removed;
+    std::function<void(const sharing::members&)> members_changed;
+    std::function<void(std::uint64_t fingerprint)> suspected;
     std::function<void(const observe::decision&)> log;
 };
 
-// What a daemon knows from the platform's store: the configuration in force, the data centres out
-// of service, and the backend servers.
+// What a daemon knows from the platform's store and from the other daemons: the configuration in
+// force, the data centres out of service, the backend servers, and the daemons themselves.
 class gateway_store {
 public:
     gateway_store(asio::io_context& executor, const settings::gateway_settings& settings,
-                  gateway_platform& platform, gateway_store_hooks hooks);
+                  const gateway_platform& platform, gateway_store_hooks hooks);
 
     void start();
 
+    // This daemon stops soon.
+    void leave();
+
+    void tell_suspicion(std::uint64_t fingerprint);
+
     // Whether both the configuration and the backend servers have been read.
     [[nodiscard]] bool known() const;
 
 private:
-    void after(duration delay, std::function<void()> work);
-    platform::follower_hooks operators_hooks();
-    platform::follower_hooks registrations_hooks();
-    void take_operator_record(const platform::keyed_record& record);
+    sharing::sharing_hooks sharing_hooks();
+    sharing::shared_topics shared_topics() const;
+    void received(std::string_view bytes);
+    void listed(wire::shared_topic topic, const std::vector<platform::keyed_record>& records);
+    bool changed(wire::shared_topic topic, const platform::keyed_record& record);
+    bool take_operator_record(const platform::keyed_record& record);
     void take_all_operator_records(const std::vector<platform::keyed_record>& records);
-    void take_registration(const platform::keyed_record& record);
+    bool take_registration(const platform::keyed_record& record);
     void take_all_registrations(const std::vector<platform::keyed_record>& records);
     void set_in_service(const data_centre_service& change);
     void log_unreadable(const platform::keyed_record& record, const absl::Status& why);
+    void members_changed();
     void tick();
 
     asio::io_context& executor;
-    gateway_platform& platform;
+    const gateway_platform& platform;
     gateway_store_hooks hooks;
+    vm_id self;
+    address peers;
     net::http_client http;
+    platform_topics topics;
     balance::backend_registry registry;
     asio::steady_timer timer;
     std::set<data_centre_id> out_of_service;
     bool configured = false;
-    std::unique_ptr<platform::topic_follower> operators;
-    std::unique_ptr<platform::topic_follower> registrations;
-    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+    peer_socket socket;
+    sharing::store_sharing sharing;
 };
 
 } // namespace azureshore::daemon::detail
--- a/src/azureshore/settings/gateway_settings.cpp
+++ b/src/azureshore/settings/gateway_settings.cpp
@@ -34,7 +34,7 @@
 std::vector<rule> tuning_rules(gateway_settings& target)
 {
     return {
-        {"store.timeout", value_kind::milliseconds, false, "1000", 10, hour_ms,
+        {"store.timeout", value_kind::milliseconds, false, "600", 10, hour_ms,
          "Longest wait for an answer of the store beyond the wait that it was asked for.",
          to_duration(target.store_timeout)},
         {"bounds.apply_within", value_kind::milliseconds, false, "2000", 100, hour_ms,
--- a/src/azureshore/settings/gateway_settings.hpp
+++ b/src/azureshore/settings/gateway_settings.hpp
@@ -27,7 +27,7 @@
     address metrics;
 
     address store;
-    duration store_timeout = std::chrono::seconds(1);
+    duration store_timeout = std::chrono::milliseconds(600);
 
     // A configuration or a leaving backend server has effect within this time.
     duration apply_within = std::chrono::seconds(2);
--- /dev/null
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "azureshore/sharing/store_sharing.hpp"
+
+#include <array>
+#include <deque>
+#include <optional>
+
+namespace azureshore::sharing {
+
+class store_sharing::state : public std::enable_shared_from_this<store_sharing::state> {
+public:
+    state(sharing_settings chosen, shared_topics followed, sharing_hooks told);
+
+    void start();
+    void leave();
+    void receive(const wire::envelope& received);
+    void tell_suspicion(std::uint64_t fingerprint);
+    [[nodiscard]] bool listed() const;
+
+    members known;
+    bool members_listed = false;
+
+private:
+    // What one read found, kept so that a lost message is made up for by the next ones.
+    struct round {
+        std::uint64_t from = 0;
+        std::uint64_t next = 0;
+        std::vector<wire::shared_record> records;
+    };
+    struct followed_topic {
+        wire::shared_topic kind;
+        platform::keyed_topic calls;
+        bool listed = false;
+        bool busy = false;
+        // A read is wanted as soon as the one under way ends.
+        bool again = false;
+        std::uint64_t next = 0;
+        // When the knowledge was last as new as the store's.
+        time_point fresh_at{};
+        // The last read failed.
+        bool failed = false;
+        std::deque<round> rounds{};
+    };
+
+    [[nodiscard]] time_point now() const { return this->hooks.clock(); }
+    followed_topic& topic(wire::shared_topic kind);
+    void later(duration wait, std::function<void(state&)> work);
+
+    // Reading.
+    void list(followed_topic& from);
+    void read(followed_topic& from, std::chrono::milliseconds wait);
+    void read_ended(followed_topic& from, time_point began, const platform::keyed_read& result);
+    void read_failed(followed_topic& from);
+    void read_succeeded(followed_topic& from, time_point began);
+    void take(followed_topic& from, const platform::keyed_read& result);
+
+    // When to read.
+    void check();
+    [[nodiscard]] duration due_after() const;
+    void read_operators_on();
+    [[nodiscard]] bool reads_for_all() const;
+
+    // Messages.
+    void tell_all(const wire::message& body);
+    void tell_news(followed_topic& of);
+    void heard_news(const vm_id& from, const wire::topic_news& news);
+    void heard_hello(const vm_id& from, const wire::member_hello& hello);
+    void say_hello(const address& to);
+    void say_hello_to_first();
+    void announce();
+    void list_members();
+    void drop_silent_members();
+    void set_away(bool now_away);
+
+    sharing_settings settings;
+    sharing_hooks hooks;
+    platform::keyed_topic members_topic;
+    std::array<followed_topic, 2> topics;
+    bool leaving = false;
+    bool away = false;
+    // The best-ranked daemon whose news were heard, and when.
+    std::optional<vm_id> reader;
+    time_point reader_heard;
+    time_point started;
+    // Since when this daemon reads for all.
+    time_point reading_since;
+    bool check_set = false;
+};
+
+} // namespace azureshore::sharing
--- /dev/null
+++ b/src/azureshore/sharing/store_sharing.hpp
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "azureshore/core/random.hpp"
+#include "azureshore/observe/decision.hpp"
+#include "azureshore/platform/keyed_topic.hpp"
+#include "azureshore/sharing/members.hpp"
+#include "azureshore/wire/message.hpp"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace azureshore::sharing {
+
+struct sharing_settings {
+    vm_id self;
+    address where;
+    // What the store accepts has effect on every daemon within this time.
+    duration apply_within = std::chrono::seconds(2);
+};
+
+struct sharing_hooks {
+    std::function<time_point()> clock;
+    std::function<void(duration, std::function<void()>)> after;
+    // Sends a message to another daemon; it may be lost.
+    std::function<void(const address& where, const wire::message&)> send;
+    // Makes this daemon known to others through the store; `done` says whether that succeeded.
+    std::function<void(std::function<void(bool)> done)> announce;
+    // The newest record of every key of a topic.
+    std::function<void(wire::shared_topic, const std::vector<platform::keyed_record>&)> listed;
+    // One record; returns whether it changes what this daemon knows.
+    std::function<bool(wire::shared_topic, const platform::keyed_record&)> changed;
+    // Nothing new can be learned from the store, by this daemon or another; or it can again.
+    std::function<void()> lost;
+    std::function<void()> back;
+    std::function<void()> members_changed;
+    std::function<void(std::uint64_t fingerprint)> suspected;
+    observe::decision_hook decided;
+};
+
+struct shared_topics {
+    platform::keyed_topic operators;
+    platform::keyed_topic registrations;
+    // The daemons that have announced themselves: names and addresses.
+    platform::keyed_topic members;
+};
+
+// Reads the platform's store for all daemons by one of them, as each call has its price. The
+// first in rendezvous order reads and tells the others, who answer that they live; one that hears
+// nothing for a part of the bound reads for itself and tells the others in turn. No agreement is
+// needed: two readers cost calls and nothing else. All calls on one thread.
+class store_sharing {
+public:
+    store_sharing(sharing_settings settings, shared_topics topics, sharing_hooks hooks);
+    ~store_sharing();
+    store_sharing(const store_sharing&) = delete;
+    store_sharing& operator=(const store_sharing&) = delete;
+    store_sharing(store_sharing&&) = delete;
+    store_sharing& operator=(store_sharing&&) = delete;
+
+    void start();
+
+    // This daemon stops soon: others take its tasks over.
+    void leave();
+
+    void receive(const wire::envelope& received);
+
+    // Tells all others that a backend server's process ended under such a request.
+    void tell_suspicion(std::uint64_t fingerprint);
+
+    // Whether both topics have been listed.
+    [[nodiscard]] bool listed() const;
+
+    // Whether the daemons that announced themselves have been read.
+    [[nodiscard]] bool members_listed() const;
+
+    [[nodiscard]] const members& known() const;
+
+private:
+    class state;
+    std::shared_ptr<state> inner;
+};
+
+} // namespace azureshore::sharing
--- a/src/azureshore/wire/internal/fields.hpp
+++ b/src/azureshore/wire/internal/fields.hpp
@@ -70,6 +70,14 @@
 AZURESHORE_FIELDS(run_record, m.version, m.expired_below, m.outcomes, m.releases, m.intents);
 AZURESHORE_FIELDS(run_group, m.service, m.partition, m.entries);
 
+AZURESHORE_FIELDS(shared_record, m.offset, m.key, m.value);
+AZURESHORE_FIELDS(topic_news, m.topic, m.from, m.next, m.records, m.operators_next,
+                  m.members_digest);
+AZURESHORE_FIELDS(member_hello, m.where, m.members_digest, m.leaving);
+AZURESHORE_FIELDS(member_entry, m.name, m.where, m.leaving);
+AZURESHORE_FIELDS(member_list, m.members);
+AZURESHORE_FIELDS(crash_suspicion, m.fingerprint);
+
 #undef AZURESHORE_FIELDS
 
 // Whether a number read from the wire is an enumerator. Each switch names them all and has no
@@ -110,6 +118,16 @@
     return false;
 }
 
+constexpr bool is_known(shared_topic value)
+{
+    switch (value) {
+    case shared_topic::operators:
+    case shared_topic::registrations:
+        return true;
+    }
+    return false;
+}
+
 constexpr bool is_known(usage value)
 {
     switch (value) {
--- /dev/null
+++ b/src/azureshore/wire/sharing_messages.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "azureshore/core/address.hpp"
+#include "azureshore/core/ids.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace azureshore::wire {
+
+// The topics of the platform's store that one daemon reads for all.
+enum class shared_topic : std::uint8_t { operators, registrations };
+
+// A record of such a topic, as the platform's store has it.
+struct shared_record {
+    std::uint64_t offset = 0;
+    std::string key;
+    // Nothing when the key was dropped.
+    std::optional<std::string> value;
+
+    bool operator==(const shared_record&) const = default;
+};
+
+// What a daemon has read: the records in [from, next) that change anything.
+struct topic_news {
+    shared_topic topic = shared_topic::registrations;
+    std::uint64_t from = 0;
+    std::uint64_t next = 0;
+    std::vector<shared_record> records;
+    // How far the sender has read the operators' topic.
+    std::uint64_t operators_next = 0;
+    // Tells whether the receiver knows the same daemons.
+    std::uint64_t members_digest = 0;
+
+    bool operator==(const topic_news&) const = default;
+};
+
+// The sender lives; sent to all at its start and its end, and to the reader after its news.
+struct member_hello {
+    address where;
+    std::uint64_t members_digest = 0;
+    bool leaving = false;
+
+    bool operator==(const member_hello&) const = default;
+};
+
+struct member_entry {
+    vm_id name;
+    address where;
+    bool leaving = false;
+
+    bool operator==(const member_entry&) const = default;
+};
+
+// The daemons that the sender, which reads for all, has heard of lately.
+struct member_list {
+    std::vector<member_entry> members;
+
+    bool operator==(const member_list&) const = default;
+};
+
+// A backend server's process ended while it ran a request with this fingerprint.
+struct crash_suspicion {
+    std::uint64_t fingerprint = 0;
+
+    bool operator==(const crash_suspicion&) const = default;
+};
+
+} // namespace azureshore::wire
