--- a/src/azureshore/balance/backend_registry.cpp
+++ b/src/azureshore/balance/backend_registry.cpp
@@ -16,6 +16,17 @@
 // Bounds the memory of backend servers that are gone.
 constexpr std::size_t most_graves = 4096;
 
+// Whether a later registration adds nothing but that time has passed.
+bool says_the_same(const registration& before, registration after)
+{
+    if (after.cold_remaining > before.cold_remaining) {
+        return false;
+    }
+    after.sequence = before.sequence;
+    after.cold_remaining = before.cold_remaining;
+    return before == after;
+}
+
 } // namespace
 
 backend_registry::backend_registry(registry_hooks told) : hooks(std::move(told)) {}
@@ -52,9 +63,7 @@
     this->graves.erase(read.id);
     auto& kept = this->entries[read.id];
     const bool lapsed = std::exchange(kept.gone_at, std::nullopt).has_value();
-    auto without_count = read;
-    without_count.sequence = kept.last.sequence;
-    const bool same = kept.last == without_count;
+    const bool same = says_the_same(kept.last, read);
     kept.last = read;
     if (!same) {
         this->hooks.changed(read);
--- a/src/azureshore/balance/internal/attempts.cpp
+++ b/src/azureshore/balance/internal/attempts.cpp
@@ -137,14 +137,13 @@
                {"backend", to.backend.value},
                {"cost", text_of(to.cost)}});
     if (of.on->idempotent && of.attempts < of.on->max_attempts) {
-        const auto late = std::max<duration>(
-            this->work(of).expected(to.cost * first_lateness), least_lateness);
+        const auto late =
+            std::max<duration>(this->work(of).expected(to.cost * first_lateness), least_lateness);
         this->set_second_send_timer(of, attempt, late, false);
     }
     const auto patience = of.in.patience.value_or(unknown_patience);
     const auto left = of.in.arrived + std::min(patience, of.on->timeout) - now;
-    this->hooks.send(
-        {attempt, of.in.number, to.backend, known->registered.where, to.probe, left});
+    this->hooks.send({attempt, of.in.number, to.backend, known->registered.where, to.probe, left});
 }
 
 void dispatcher::state::set_second_send_timer(const live_request& of, attempt_number attempt,
@@ -170,8 +169,7 @@
     auto& estimate = this->work(*of);
     const bool in_time = now + estimate.expected(1.3) < of->in.arrived + of->on->target_latency;
     if (!last && !in_time) {
-        const auto until =
-            first.sent + estimate.expected(first.cost * second_lateness) - now;
+        const auto until = first.sent + estimate.expected(first.cost * second_lateness) - now;
         this->set_second_send_timer(*of, attempt, std::max(until, least_lateness), true);
         return;
     }
@@ -220,10 +218,10 @@
     }
     if (result.end == attempt_end::not_run) {
         this->book.failed(now, ended.backend, full_weight);
-        this->try_again_or(*of, {of->may_have_run ? refusal_cause::outcome_unknown
-                                                  : refusal_cause::attempts_exhausted,
-                                 of->may_have_run ? status_bad_gateway : status_unavailable,
-                                 this->room_expected(*of)});
+        this->try_again_or(
+            *of,
+            {of->may_have_run ? refusal_cause::outcome_unknown : refusal_cause::attempts_exhausted,
+             of->may_have_run ? status_bad_gateway : status_unavailable, this->room_expected(*of)});
         return;
     }
     of->may_have_run = true;
@@ -324,9 +322,9 @@
     }
     ++this->counted.refused;
     const auto request = of.in.number;
-    this->log("refuse", of,
-              {{"cause", std::string(to_string(why.cause))},
-               {"status", std::to_string(why.status)}});
+    this->log(
+        "refuse", of,
+        {{"cause", std::string(to_string(why.cause))}, {"status", std::to_string(why.status)}});
     this->end(of);
     this->hooks.refuse(request, why);
 }
@@ -335,12 +333,12 @@
 {
     ++this->counted.refused;
     if (this->hooks.decided) {
-        this->hooks.decided({"refuse",
-                             {{"request", request.id},
-                              {"cause", std::string(to_string(why.cause))},
-                              {"status", std::to_string(why.status)},
-                              {"version", std::to_string(this->current ? this->current->version
-                                                                       : 0)}}});
+        this->hooks.decided(
+            {"refuse",
+             {{"request", request.id},
+              {"cause", std::string(to_string(why.cause))},
+              {"status", std::to_string(why.status)},
+              {"version", std::to_string(this->current ? this->current->version : 0)}}});
     }
     this->hooks.refuse(request.number, why);
 }
--- a/src/azureshore/balance/internal/backend_book.cpp
+++ b/src/azureshore/balance/internal/backend_book.cpp
@@ -86,8 +86,7 @@
 
 bool backend_book::reachable(const known_backend& each) const
 {
-    return !each.registered.draining &&
-           !this->out_of_service.contains(each.registered.data_centre);
+    return !each.registered.draining && !this->out_of_service.contains(each.registered.data_centre);
 }
 
 double backend_book::prior_cost(time_point now, const known_backend& each)
--- a/src/azureshore/balance/internal/search.cpp
+++ b/src/azureshore/balance/internal/search.cpp
@@ -29,13 +29,13 @@
     of.search.emplace();
     of.search->generation = ++this->last_generation;
     of.search->second = second;
-    this->hooks.after(search_limit, [this, request = of.in.number,
-                                     generation = of.search->generation] {
-        auto* live = this->find(request);
-        if (live != nullptr && live->search && live->search->generation == generation) {
-            this->decide(*live);
-        }
-    });
+    this->hooks.after(
+        search_limit, [this, request = of.in.number, generation = of.search->generation] {
+            auto* live = this->find(request);
+            if (live != nullptr && live->search && live->search->generation == generation) {
+                this->decide(*live);
+            }
+        });
     this->ask_next(of);
 }
 
@@ -73,8 +73,8 @@
         }
     });
     // Last, as the answer may come from within the call.
-    this->hooks.probe({probe, chosen.registered.id, chosen.registered.where,
-                       this->traits(of).health_path});
+    this->hooks.probe(
+        {probe, chosen.registered.id, chosen.registered.where, this->traits(of).health_path});
 }
 
 void dispatcher::state::probe_ended(probe_number probe, const std::optional<probe_reading>& reading)
@@ -113,8 +113,8 @@
         this->ask_next(of);
         return;
     }
-    const load_reading load = reading.load.value_or(
-        load_reading{known->in_flight, 0, known->registered.slots, 1});
+    const load_reading load =
+        reading.load.value_or(load_reading{known->in_flight, 0, known->registered.slots, 1});
     found_backend here{asked.backend, probe, detail::cost_of(load),
                        load.running + load.waiting >= load.slots &&
                            load.waiting >= std::max<std::size_t>(load.slots, 1)};
@@ -156,8 +156,8 @@
     auto best = search->best;
     if (best && !search->second) {
         const bool wait = best->full || this->worth_waiting(of, best->cost);
-        if (!wait && now + this->work(of).expected(std::min(best->cost, 2.0) * least_share) <
-                         of.deadline) {
+        if (!wait &&
+            now + this->work(of).expected(std::min(best->cost, 2.0) * least_share) < of.deadline) {
             this->send(of, *best);
             return;
         }
@@ -196,8 +196,8 @@
         this->refuse(of, {refusal_cause::overloaded, 503, this->room_expected(of)});
         return;
     }
-    const auto place = std::find_if(
-        waiting.queue.begin(), waiting.queue.end(), [&](request_number each) {
+    const auto place =
+        std::find_if(waiting.queue.begin(), waiting.queue.end(), [&](request_number each) {
             const auto* other = this->find(each);
             return other->on->priority > of.on->priority ||
                    (other->on->priority == of.on->priority && other->in.arrived > of.in.arrived);
--- a/src/azureshore/daemon/gateway_daemon.cpp
+++ b/src/azureshore/daemon/gateway_daemon.cpp
@@ -11,9 +11,9 @@
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
+#include <unistd.h>
 
 #include <csignal>
-#include <unistd.h>
 #include <utility>
 
 namespace azureshore::daemon {
@@ -54,9 +54,10 @@
     state(const settings::gateway_settings& from, std::string file, gateway_platform around)
         : settings(from), settings_file(std::move(file)), platform(std::move(around)),
           log({from.log_lines_per_second}, observe::descriptor_sink(STDOUT_FILENO), wall_clock_ms),
-          gateway(this->executor, this->make_settings(), this->platform.words,
-                  [this](const observe::decision& made) { this->write(made); },
-                  [this](std::uint64_t fingerprint) { this->store.tell_suspicion(fingerprint); }),
+          gateway(
+              this->executor, this->make_settings(), this->platform.words,
+              [this](const observe::decision& made) { this->write(made); },
+              [this](std::uint64_t fingerprint) { this->store.tell_suspicion(fingerprint); }),
           store(this->executor, from, this->platform, this->make_store_hooks()),
           ready_port(this->executor, from.ready, this->make_ready_hooks()),
           metrics_port(this->executor, from.metrics, this->make_metrics_hooks())
@@ -130,8 +131,8 @@
         hooks.request = [this](request_number number, const http1::request& request) {
             http1::response answer;
             answer.status = request.target != this->platform.readiness_path ? status_not_found
-                            : this->ready() ? status_ok
-                                            : status_unavailable;
+                            : this->ready()                                 ? status_ok
+                                                                            : status_unavailable;
             this->ready_port.answer(number, std::move(answer));
         };
         return hooks;
@@ -155,9 +156,8 @@
 
     void share_bounds()
     {
-        this->gateway.decisions().set_fleet(usual_daemons, [](const backend_id&) {
-            return 1.0 / usual_daemons;
-        });
+        this->gateway.decisions().set_fleet(usual_daemons,
+                                            [](const backend_id&) { return 1.0 / usual_daemons; });
     }
 
     void flush_log()
--- a/src/azureshore/daemon/gateway_platform.hpp
+++ b/src/azureshore/daemon/gateway_platform.hpp
@@ -34,10 +34,11 @@
 struct platform_topics {
     platform::keyed_topic operators;
     platform::keyed_topic registrations;
-    // Daemons that announced themselves: a name, and the address of their inner messages.
+    // Daemons that announced themselves: a name, and a text of their own.
     platform::keyed_topic members;
     // Announces one; says whether the store has it.
-    std::function<void(const vm_id&, const address&, std::function<void(bool)> done)> announce;
+    std::function<void(const vm_id&, const std::string& what, std::function<void(bool)> done)>
+        announce;
 };
 
 // All that differs from one platform to the next: spellings, formats and calls.
--- a/src/azureshore/daemon/internal/gateway_store.cpp
+++ b/src/azureshore/daemon/internal/gateway_store.cpp
@@ -1,5 +1,7 @@
 #include "azureshore/daemon/internal/gateway_store.hpp"
 
+#include "azureshore/daemon/internal/datagram_text.hpp"
+
 #include <asio/io_context.hpp>
 
 #include <utility>
@@ -30,6 +32,16 @@
     return made;
 }
 
+// All daemons listen for each other at the same port.
+std::vector<address> peers_of(const settings::gateway_settings& settings)
+{
+    std::vector<address> peers;
+    for (const auto& each : settings.seeds) {
+        peers.push_back({each.host, settings.peers.port});
+    }
+    return peers;
+}
+
 time_point clock_now()
 {
     return std::chrono::steady_clock::now();
@@ -40,12 +52,12 @@
 gateway_store::gateway_store(asio::io_context& context, const settings::gateway_settings& settings,
                              const gateway_platform& around, gateway_store_hooks told)
     : executor(context), platform(around), hooks(std::move(told)), self(settings.name),
-      peers(settings.peers), http(context),
-      topics(around.open_topics(this->http, settings.store, settings.store_timeout)),
+      http(context), topics(around.open_topics(this->http, settings.store, settings.store_timeout)),
       registry(registry_hooks_of(this->hooks)), timer(context),
       socket(context, settings.peers, [this](std::string_view bytes) { this->received(bytes); }),
-      sharing({settings.name, settings.peers, settings.apply_within}, this->shared_topics(),
-              this->sharing_hooks())
+      sharing({settings.name, settings.peers, settings.data_centre, settings.apply_within,
+               peers_of(settings)},
+              this->shared_topics(), this->sharing_hooks())
 {
 }
 
@@ -88,10 +100,10 @@
         });
     };
     made.send = [this](const address& where, const wire::message& body) {
-        this->socket.send(where, wire::encode({this->self, body}));
+        this->socket.send(where, to_datagram(wire::encode({this->self, body})));
     };
-    made.announce = [this](std::function<void(bool)> done) {
-        this->topics.announce(this->self, this->peers, std::move(done));
+    made.announce = [this](const std::string& what, std::function<void(bool)> done) {
+        this->topics.announce(this->self, what, std::move(done));
     };
     made.listed = [this](wire::shared_topic topic,
                          const std::vector<platform::keyed_record>& records) {
@@ -111,6 +123,7 @@
     made.members_changed = [this] {
         this->members_changed();
     };
+    made.random = system_random();
     made.suspected = [this](std::uint64_t fingerprint) {
         this->hooks.suspected(fingerprint);
     };
@@ -119,9 +132,11 @@
 
 void gateway_store::received(std::string_view bytes)
 {
-    const auto envelope = wire::decode(bytes);
+    const auto message = from_datagram(bytes);
+    const auto envelope = wire::decode(message.value_or(""));
     if (!envelope.ok()) {
-        this->hooks.log({"message_unreadable", {{"why", std::string(envelope.status().message())}}});
+        this->hooks.log(
+            {"message_unreadable", {{"why", std::string(envelope.status().message())}}});
         return;
     }
     this->sharing.receive(*envelope);
@@ -130,9 +145,9 @@
 void gateway_store::members_changed()
 {
     const auto& known = this->sharing.known();
-    this->hooks.log({"members_changed",
-                     {{"serving", std::to_string(known.serving())},
-                      {"rank", std::to_string(known.rank())}}});
+    this->hooks.log(
+        {"members_changed",
+         {{"serving", std::to_string(known.serving())}, {"rank", std::to_string(known.rank())}}});
     if (this->sharing.members_listed()) {
         this->hooks.members_changed(known);
     }
@@ -172,6 +187,10 @@
         return true;
     }
     if (auto* next = std::get_if<balance::traffic_configuration>(&*read)) {
+        this->hooks.log({"configuration_read",
+                         {{"version", std::to_string(next->version)},
+                          {"offset", std::to_string(record.offset)},
+                          {"bytes", std::to_string(record.value->size())}}});
         this->configured = true;
         this->hooks.configured(
             std::make_shared<const balance::traffic_configuration>(std::move(*next)));
--- a/src/azureshore/daemon/internal/gateway_store.hpp
+++ b/src/azureshore/daemon/internal/gateway_store.hpp
@@ -60,7 +60,6 @@
     const gateway_platform& platform;
     gateway_store_hooks hooks;
     vm_id self;
-    address peers;
     net::http_client http;
     platform_topics topics;
     balance::backend_registry registry;
--- a/src/azureshore/daemon/internal/peer_socket.cpp
+++ b/src/azureshore/daemon/internal/peer_socket.cpp
@@ -31,17 +31,17 @@
 
 void peer_socket::receive()
 {
-    this->socket.async_receive_from(
-        asio::buffer(this->buffer), this->sender,
-        [this](const asio::error_code& error, std::size_t count) {
-            if (error == asio::error::operation_aborted) {
-                return;
-            }
-            if (!error) {
-                this->received(std::string_view(this->buffer.data(), count));
-            }
-            this->receive();
-        });
+    this->socket.async_receive_from(asio::buffer(this->buffer), this->sender,
+                                    [this](const asio::error_code& error, std::size_t count) {
+                                        if (error == asio::error::operation_aborted) {
+                                            return;
+                                        }
+                                        if (!error) {
+                                            this->received(
+                                                std::string_view(this->buffer.data(), count));
+                                        }
+                                        this->receive();
+                                    });
 }
 
 } // namespace azureshore::daemon::detail
--- a/src/azureshore/gateway/backend_pool.cpp
+++ b/src/azureshore/gateway/backend_pool.cpp
@@ -56,8 +56,8 @@
         next.matches = [this](const http1::response& answer) {
             return !answers_at_all(answer, this->words);
         };
-        next.done = [this, order, connection, done = std::move(done)](
-                        detail::exchange_result result) {
+        next.done = [this, order, connection,
+                     done = std::move(done)](detail::exchange_result result) {
             const auto reading = this->read_probe(order, result);
             if (reading) {
                 this->held[order.probe] = {order.backend, connection};
@@ -76,8 +76,7 @@
         }
     }
 
-    void send(const balance::attempt_order& order, const http1::request& request,
-              attempt_done done)
+    void send(const balance::attempt_order& order, const http1::request& request, attempt_done done)
     {
         const auto connection = this->connection_for(order);
         this->running[order.attempt] = connection;
@@ -88,8 +87,8 @@
         next.matches = [this, id](const http1::response& answer) {
             return net::find_field(answer.fields, this->words.request_id) == id;
         };
-        next.done = [this, order, connection, done = std::move(done)](
-                        detail::exchange_result result) {
+        next.done = [this, order, connection,
+                     done = std::move(done)](detail::exchange_result result) {
             this->running.erase(order.attempt);
             this->keep(order.backend, connection);
             const auto ended = this->read_result(result);
@@ -210,8 +209,8 @@
             }
         }
         const auto left = std::chrono::ceil<std::chrono::milliseconds>(order.time_left);
-        out.fields.push_back({this->words.deadline_ms,
-                              std::to_string(std::max<std::int64_t>(left.count(), 1))});
+        out.fields.push_back(
+            {this->words.deadline_ms, std::to_string(std::max<std::int64_t>(left.count(), 1))});
         out.fields.push_back({this->words.expected_instance, order.backend.value});
         return out;
     }
--- a/src/azureshore/gateway/gateway.cpp
+++ b/src/azureshore/gateway/gateway.cpp
@@ -29,16 +29,15 @@
 
 std::uint64_t fingerprint_of(const http1::request& request)
 {
-    return stable_hash(request.body,
-                       stable_hash(request.target, stable_hash(request.method)));
+    return stable_hash(request.body, stable_hash(request.target, stable_hash(request.method)));
 }
 
 // A request has exactly one Host and a path.
 bool well_formed(const http1::request& request)
 {
-    const auto hosts = std::count_if(
-        request.fields.begin(), request.fields.end(),
-        [](const net::field& each) { return net::same_name(each.name, "Host"); });
+    const auto hosts =
+        std::count_if(request.fields.begin(), request.fields.end(),
+                      [](const net::field& each) { return net::same_name(each.name, "Host"); });
     return hosts == 1 && request.target.starts_with('/');
 }
 
@@ -177,16 +176,15 @@
 
     void send(const balance::attempt_order& order)
     {
-        this->pool.send(order, this->requests.at(order.request).request,
-                        [this, order](const balance::attempt_result& result,
-                                      http1::response answer) {
-                            const auto found = this->requests.find(order.request);
-                            if (found != this->requests.end() &&
-                                result.end == balance::attempt_end::answered) {
-                                found->second.answers[order.attempt] = std::move(answer);
-                            }
-                            this->decisions.attempt_ended(order.attempt, result);
-                        });
+        this->pool.send(
+            order, this->requests.at(order.request).request,
+            [this, order](const balance::attempt_result& result, http1::response answer) {
+                const auto found = this->requests.find(order.request);
+                if (found != this->requests.end() && result.end == balance::attempt_end::answered) {
+                    found->second.answers[order.attempt] = std::move(answer);
+                }
+                this->decisions.attempt_ended(order.attempt, result);
+            });
     }
 
     void deliver(request_number request, attempt_number attempt)
@@ -218,8 +216,7 @@
         http1::response answer;
         answer.status = why.status;
         if (!stored.empty()) {
-            const auto id =
-                net::find_field(stored.mapped().request.fields, this->words.request_id);
+            const auto id = net::find_field(stored.mapped().request.fields, this->words.request_id);
             answer.fields.push_back({this->words.request_id, std::string(id)});
         }
         answer.fields.push_back({"Content-Type", "text/plain"});
--- a/src/azureshore/gateway/http_port.cpp
+++ b/src/azureshore/gateway/http_port.cpp
@@ -34,21 +34,20 @@
 
     void accept()
     {
-        this->acceptor.async_accept(
-            [self = this->shared_from_this()](const asio::error_code& error, tcp::socket socket) {
-                if (error == asio::error::operation_aborted || self->stopped) {
-                    return;
-                }
-                if (error) {
-                    self->accept_later();
-                    return;
-                }
-                const auto made = std::make_shared<detail::caller_connection>(std::move(socket),
-                                                                              *self);
-                self->connections.insert(made);
-                made->start();
-                self->accept();
-            });
+        this->acceptor.async_accept([self = this->shared_from_this()](const asio::error_code& error,
+                                                                      tcp::socket socket) {
+            if (error == asio::error::operation_aborted || self->stopped) {
+                return;
+            }
+            if (error) {
+                self->accept_later();
+                return;
+            }
+            const auto made = std::make_shared<detail::caller_connection>(std::move(socket), *self);
+            self->connections.insert(made);
+            made->start();
+            self->accept();
+        });
     }
 
     void answer(request_number request, http1::response answer)
--- a/src/azureshore/gateway/internal/backend_connection.cpp
+++ b/src/azureshore/gateway/internal/backend_connection.cpp
@@ -1,9 +1,9 @@
 #include "azureshore/gateway/internal/backend_connection.hpp"
 
 #include <asio/write.hpp>
-
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+
 #include <utility>
 
 namespace azureshore::gateway::detail {
@@ -41,24 +41,23 @@
 {
     const auto limit = this->current->timeout;
     this->set_timer(limit > duration{} ? std::min(limit, connect_limit) : connect_limit);
-    this->socket.async_connect(
-        this->where, [self = this->shared_from_this()](const asio::error_code& error) {
-            if (self->closed) {
-                return;
-            }
-            if (error) {
-                self->finish(exchange_end::not_connected, {});
-                return;
-            }
-            self->connected = true;
-            asio::error_code ignored;
-            self->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-            using user_timeout =
-                asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-            self->socket.set_option(user_timeout(unacknowledged_ms), ignored);
-            self->write();
-            self->read();
-        });
+    this->socket.async_connect(this->where, [self = this->shared_from_this()](
+                                                const asio::error_code& error) {
+        if (self->closed) {
+            return;
+        }
+        if (error) {
+            self->finish(exchange_end::not_connected, {});
+            return;
+        }
+        self->connected = true;
+        asio::error_code ignored;
+        self->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+        self->socket.set_option(user_timeout(unacknowledged_ms), ignored);
+        self->write();
+        self->read();
+    });
 }
 
 void backend_connection::write()
@@ -69,14 +68,14 @@
     else {
         this->timer.cancel();
     }
-    asio::async_write(this->socket, asio::buffer(this->current->bytes),
-                      [self = this->shared_from_this()](const asio::error_code& error,
-                                                        std::size_t) {
-                          if (!error) {
-                              self->written = true;
-                          }
-                          // A failed write leaves the end to the read: an answer may have come.
-                      });
+    asio::async_write(
+        this->socket, asio::buffer(this->current->bytes),
+        [self = this->shared_from_this()](const asio::error_code& error, std::size_t) {
+            if (!error) {
+                self->written = true;
+            }
+            // A failed write leaves the end to the read: an answer may have come.
+        });
 }
 
 void backend_connection::read()
--- a/src/azureshore/gateway/internal/caller_connection.cpp
+++ b/src/azureshore/gateway/internal/caller_connection.cpp
@@ -117,9 +117,9 @@
     if (this->reader.expects_continue() && !this->continue_sent) {
         this->continue_sent = true;
         auto line = std::make_shared<std::string>("HTTP/1.1 100 Continue\r\n\r\n");
-        asio::async_write(this->socket, asio::buffer(*line),
-                          [line, self = this->shared_from_this()](const asio::error_code&,
-                                                                  std::size_t) {});
+        asio::async_write(
+            this->socket, asio::buffer(*line),
+            [line, self = this->shared_from_this()](const asio::error_code&, std::size_t) {});
     }
     if (this->reader.header_complete() && !this->body_timer) {
         this->body_timer = true;
@@ -167,18 +167,18 @@
     this->now = phase::writing;
     this->outgoing = std::move(bytes);
     this->set_timer(write_limit);
-    asio::async_write(this->socket, asio::buffer(this->outgoing),
-                      [self = this->shared_from_this()](const asio::error_code& error,
-                                                        std::size_t) {
-                          if (self->now == phase::closed) {
-                              return;
-                          }
-                          if (error) {
-                              self->close();
-                              return;
-                          }
-                          self->written();
-                      });
+    asio::async_write(
+        this->socket, asio::buffer(this->outgoing),
+        [self = this->shared_from_this()](const asio::error_code& error, std::size_t) {
+            if (self->now == phase::closed) {
+                return;
+            }
+            if (error) {
+                self->close();
+                return;
+            }
+            self->written();
+        });
 }
 
 void caller_connection::written()
--- a/src/azureshore/http1/message.cpp
+++ b/src/azureshore/http1/message.cpp
@@ -1,16 +1,17 @@
 #include "azureshore/http1/message.hpp"
 
+#include <http_parser.h>
+
 #include <algorithm>
 #include <array>
-#include <http_parser.h>
 
 namespace azureshore::http1 {
 
 namespace {
 
 constexpr std::array<std::string_view, 8> connection_fields{
-    "Connection",          "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-    "Proxy-Connection",    "TE",         "Transfer-Encoding",  "Upgrade",
+    "Connection",       "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+    "Proxy-Connection", "TE",         "Transfer-Encoding",  "Upgrade",
 };
 
 constexpr int first_final_status = 200;
@@ -93,9 +94,8 @@
     bytes.append("HTTP/1.1 ").append(std::to_string(out.status)).append(" ");
     bytes.append(reason_of(out.status)).append("\r\n");
     append_fields(bytes, out.fields);
-    const bool bodyless =
-        to_head || out.status == no_content || out.status == not_modified ||
-        out.status < first_final_status;
+    const bool bodyless = to_head || out.status == no_content || out.status == not_modified ||
+                          out.status < first_final_status;
     if (!bodyless) {
         append_length(bytes, out.body.size());
     }
--- a/src/azureshore/http1/message_reader.cpp
+++ b/src/azureshore/http1/message_reader.cpp
@@ -197,8 +197,7 @@
 
     int message_ended()
     {
-        if (this->kind == message_kind::response &&
-            this->engine.status_code < first_final_status) {
+        if (this->kind == message_kind::response && this->engine.status_code < first_final_status) {
             this->started = false;
             this->head_done = false;
             this->fields.clear();
--- a/src/azureshore/observe/event_log.cpp
+++ b/src/azureshore/observe/event_log.cpp
@@ -1,8 +1,9 @@
 #include "azureshore/observe/event_log.hpp"
 
 #include <fcntl.h>
-#include <string_view>
 #include <unistd.h>
+
+#include <string_view>
 #include <utility>
 
 namespace azureshore::observe {
--- a/src/azureshore/settings/assign.hpp
+++ b/src/azureshore/settings/assign.hpp
@@ -53,4 +53,11 @@
     };
 }
 
+inline assigner to_addresses(std::vector<address>& target)
+{
+    return [&target](const found_value& found) {
+        target = found.addresses;
+    };
+}
+
 } // namespace azureshore::settings
--- a/src/azureshore/settings/gateway_settings.cpp
+++ b/src/azureshore/settings/gateway_settings.cpp
@@ -26,6 +26,10 @@
          to_address(target.peers)},
         {"listen.metrics", value_kind::address, true, "", 0, 0, "Where `/metrics` is served.",
          to_address(target.metrics)},
+        {"peers.seeds", value_kind::address_list, false, "none", 0, 0,
+         "Daemons to ask at the start when the store does not answer; they are asked at the port "
+         "of `listen.peers`.",
+         to_addresses(target.seeds)},
         {"store.address", value_kind::address, true, "", 0, 0, "The platform's store.",
          to_address(target.store)},
     };
@@ -77,8 +81,7 @@
     return parsed;
 }
 
-std::variant<gateway_settings, std::vector<problem>>
-load_gateway_settings(const std::string& file)
+std::variant<gateway_settings, std::vector<problem>> load_gateway_settings(const std::string& file)
 {
     const auto text = read_text_file(file);
     if (!text) {
--- a/src/azureshore/settings/gateway_settings.hpp
+++ b/src/azureshore/settings/gateway_settings.hpp
@@ -26,6 +26,9 @@
     address peers;
     address metrics;
 
+    // Hosts of daemons that may be asked at the start; their ports are not used.
+    std::vector<address> seeds;
+
     address store;
     duration store_timeout = std::chrono::milliseconds(600);
 
@@ -49,7 +52,6 @@
                                                                             std::string_view text);
 
 // Reads a file; one that can't be read is a fault of its own.
-std::variant<gateway_settings, std::vector<problem>>
-load_gateway_settings(const std::string& file);
+std::variant<gateway_settings, std::vector<problem>> load_gateway_settings(const std::string& file);
 
 } // namespace azureshore::settings
--- a/src/azureshore/settings/schema.cpp
+++ b/src/azureshore/settings/schema.cpp
@@ -56,6 +56,8 @@
         return "true or false";
     case value_kind::key_list:
         return "a list of at least one key of 64 hexadecimal digits";
+    case value_kind::address_list:
+        return "a list of addresses host:port";
     }
     return {};
 }
@@ -143,6 +145,23 @@
     return found;
 }
 
+std::optional<found_value> read_addresses(const toml::node& node)
+{
+    const auto* array = node.as_array();
+    if (array == nullptr) {
+        return std::nullopt;
+    }
+    found_value found;
+    for (const auto& each : *array) {
+        const auto one = read_address(each);
+        if (!one) {
+            return std::nullopt;
+        }
+        found.addresses.push_back(one->where);
+    }
+    return found;
+}
+
 std::optional<found_value> read_value(const toml::node& node, const rule& each)
 {
     switch (each.kind) {
@@ -159,6 +178,8 @@
         return read_flag(node);
     case value_kind::key_list:
         return read_keys(node);
+    case value_kind::address_list:
+        return read_addresses(node);
     }
     return std::nullopt;
 }
--- a/src/azureshore/settings/schema.hpp
+++ b/src/azureshore/settings/schema.hpp
@@ -13,7 +13,16 @@
 namespace azureshore::settings {
 
 // What a key of a settings file may hold.
-enum class value_kind { text, address, whole_number, milliseconds, fraction, flag, key_list };
+enum class value_kind {
+    text,
+    address,
+    whole_number,
+    milliseconds,
+    fraction,
+    flag,
+    key_list,
+    address_list
+};
 
 // A value found in a file, already of the kind its rule names.
 struct found_value {
@@ -23,6 +32,7 @@
     bool flag = false;
     azureshore::address where;
     std::vector<std::string> list;
+    std::vector<azureshore::address> addresses;
 };
 
 // One key: where it stands, what it may hold, and where its value goes.
--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <deque>
+#include <map>
 #include <optional>
 
 namespace azureshore::sharing {
@@ -41,6 +42,11 @@
         // The last read failed.
         bool failed = false;
         std::deque<round> rounds{};
+        // The newest record of each key, for daemons that start.
+        std::map<std::string, wire::shared_record> newest{};
+        // Parts of a snapshot that have come, and where it ends.
+        std::map<std::uint32_t, std::vector<wire::shared_record>> parts{};
+        std::uint64_t parts_next = 0;
     };
 
     [[nodiscard]] time_point now() const { return this->hooks.clock(); }
@@ -54,6 +60,15 @@
     void read_failed(followed_topic& from);
     void read_succeeded(followed_topic& from, time_point began);
     void take(followed_topic& from, const platform::keyed_read& result);
+    void take_list(followed_topic& from, std::uint64_t next,
+                   const std::vector<platform::keyed_record>& records);
+    bool take_record(followed_topic& from, const platform::keyed_record& record);
+
+    // Starting.
+    void learn();
+    void list_unless_learned();
+    void tell_snapshots(const std::vector<wire::member_entry>& to);
+    void heard_snapshot(const wire::topic_snapshot& snapshot);
 
     // When to read.
     void check();
@@ -62,11 +77,12 @@
     [[nodiscard]] bool reads_for_all() const;
 
     // Messages.
-    void tell_all(const wire::message& body);
+    void tell(const std::vector<wire::member_entry>& to, const wire::message& body);
+    void pass_on(const wire::envelope& received, const vm_id& origin);
     void tell_news(followed_topic& of);
-    void heard_news(const vm_id& from, const wire::topic_news& news);
+    void heard_news(const wire::topic_news& news);
     void heard_hello(const vm_id& from, const wire::member_hello& hello);
-    void say_hello(const address& to);
+    void say_hello(const address& to, bool wants_all = false);
     void say_hello_to_first();
     void announce();
     void list_members();
@@ -86,6 +102,8 @@
     // Since when this daemon reads for all.
     time_point reading_since;
     bool check_set = false;
+    // Some daemon knows others than this one does.
+    bool views_differ = false;
 };
 
 } // namespace azureshore::sharing
--- a/src/azureshore/sharing/members.cpp
+++ b/src/azureshore/sharing/members.cpp
@@ -21,17 +21,20 @@
 
 } // namespace
 
-members::members(vm_id own) : self(std::move(own)) {}
+members::members(vm_id own, data_centre_id here)
+    : self(std::move(own)), data_centre(std::move(here))
+{
+}
 
-bool members::heard(time_point now, const vm_id& name, const address& where, bool leaving)
+bool members::heard(time_point now, const wire::member_entry& of)
 {
-    if (name == this->self) {
+    if (of.name == this->self) {
         return false;
     }
-    const auto [found, added] = this->all.try_emplace(name);
+    const auto [found, added] = this->all.try_emplace(of.name);
     const bool changed =
-        added || found->second.where != where || found->second.leaving != leaving;
-    found->second = {where, leaving, now};
+        added || found->second.where != of.where || found->second.leaving != of.leaving;
+    found->second = {of.where, of.data_centre, of.leaving, now};
     return changed;
 }
 
@@ -41,18 +44,17 @@
     bool changed = false;
     for (const auto& each : view) {
         named.insert(each.name);
-        changed = this->heard(now, each.name, each.where, each.leaving) || changed;
+        changed = this->heard(now, each) || changed;
     }
-    return std::erase_if(this->all,
-                         [&](const auto& each) { return !named.contains(each.first); }) > 0 ||
+    return std::erase_if(this->all, [&](const auto& each) { return !named.contains(each.first); }) >
+               0 ||
            changed;
 }
 
 bool members::drop_silent(time_point since)
 {
-    return std::erase_if(this->all, [since](const auto& each) {
-               return each.second.heard_at < since;
-           }) > 0;
+    return std::erase_if(this->all,
+                         [since](const auto& each) { return each.second.heard_at < since; }) > 0;
 }
 
 std::size_t members::rank() const
@@ -70,6 +72,15 @@
     return before;
 }
 
+std::size_t members::local_rank() const
+{
+    const auto own = weight_of(reading_task, this->self);
+    const auto near = this->neighbours();
+    return static_cast<std::size_t>(std::count_if(near.begin(), near.end(), [&](const auto& each) {
+        return !each.leaving && weight_of(reading_task, each.name) < own;
+    }));
+}
+
 std::size_t members::serving() const
 {
     return 1 + static_cast<std::size_t>(
@@ -93,11 +104,52 @@
     std::vector<wire::member_entry> listed;
     listed.reserve(this->all.size());
     for (const auto& [name, each] : this->all) {
-        listed.push_back({name, each.where, each.leaving});
+        listed.push_back({name, each.where, each.data_centre, each.leaving});
     }
     return listed;
 }
 
+std::vector<wire::member_entry> members::neighbours() const
+{
+    auto near = this->others();
+    std::erase_if(near, [this](const wire::member_entry& each) {
+        return each.data_centre != this->data_centre;
+    });
+    return near;
+}
+
+std::vector<wire::member_entry> members::first_elsewhere() const
+{
+    std::map<data_centre_id, wire::member_entry> first;
+    for (const auto& each : this->others()) {
+        if (each.data_centre == this->data_centre || each.leaving) {
+            continue;
+        }
+        const auto [found, added] = first.try_emplace(each.data_centre, each);
+        if (!added &&
+            weight_of(reading_task, each.name) < weight_of(reading_task, found->second.name)) {
+            found->second = each;
+        }
+    }
+    std::vector<wire::member_entry> listed;
+    for (const auto& [where, each] : first) {
+        listed.push_back(each);
+    }
+    return listed;
+}
+
+bool members::local(const vm_id& name) const
+{
+    const auto found = this->all.find(name);
+    return found != this->all.end() && found->second.data_centre == this->data_centre;
+}
+
+std::optional<address> members::find(const vm_id& name) const
+{
+    const auto found = this->all.find(name);
+    return found == this->all.end() ? std::nullopt : std::optional(found->second.where);
+}
+
 std::uint64_t members::digest() const
 {
     auto sum = stable_hash(this->self.value);
--- a/src/azureshore/sharing/store_sharing.hpp
+++ b/src/azureshore/sharing/store_sharing.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "azureshore/core/random.hpp"
-#include "azureshore/observe/decision.hpp"
 #include "azureshore/platform/keyed_topic.hpp"
 #include "azureshore/sharing/members.hpp"
 #include "azureshore/wire/message.hpp"
@@ -15,8 +14,11 @@
 struct sharing_settings {
     vm_id self;
     address where;
+    data_centre_id data_centre;
     // What the store accepts has effect on every daemon within this time.
     duration apply_within = std::chrono::seconds(2);
+    // Daemons that may be asked at the start, when the store does not answer.
+    std::vector<address> seeds;
 };
 
 struct sharing_hooks {
@@ -25,7 +27,7 @@
     // Sends a message to another daemon; it may be lost.
     std::function<void(const address& where, const wire::message&)> send;
     // Makes this daemon known to others through the store; `done` says whether that succeeded.
-    std::function<void(std::function<void(bool)> done)> announce;
+    std::function<void(const std::string& what, std::function<void(bool)> done)> announce;
     // The newest record of every key of a topic.
     std::function<void(wire::shared_topic, const std::vector<platform::keyed_record>&)> listed;
     // One record; returns whether it changes what this daemon knows.
@@ -35,7 +37,7 @@
     std::function<void()> back;
     std::function<void()> members_changed;
     std::function<void(std::uint64_t fingerprint)> suspected;
-    observe::decision_hook decided;
+    random_source random;
 };
 
 struct shared_topics {
@@ -46,9 +48,10 @@
 };
 
 // Reads the platform's store for all daemons by one of them, as each call has its price. The
-// first in rendezvous order reads and tells the others, who answer that they live; one that hears
-// nothing for a part of the bound reads for itself and tells the others in turn. No agreement is
-// needed: two readers cost calls and nothing else. All calls on one thread.
+// first in rendezvous order reads and tells the others, who answer that they live; to another data
+// centre its news go once and are passed on there. A daemon that hears nothing for a part of the
+// bound reads for itself, the first ones in the order earlier, and those tell the others in turn.
+// No agreement is needed: two readers cost calls and nothing else. All calls on one thread.
 class store_sharing {
 public:
     store_sharing(sharing_settings settings, shared_topics topics, sharing_hooks hooks);
--- a/src/azureshore/wire/message.cpp
+++ b/src/azureshore/wire/message.cpp
@@ -11,13 +11,11 @@
 namespace {
 
 constexpr std::array<std::string_view, std::variant_size_v<message>> names{
-    "heartbeat",     "permit_request",        "permit_cancel",
-    "permit_grant",  "permit_refusal",        "permit_return",
-    "permit_report", "configuration_records", "configuration_pull",
-    "suspicion",     "configuration_state",   "configuration_notice",
-    "permit_queued", "leader_claim",          "run_group",
-    "topic_news",    "member_hello",          "member_list",
-    "crash_suspicion"};
+    "heartbeat",          "permit_request", "permit_cancel",       "permit_grant",
+    "permit_refusal",     "permit_return",  "permit_report",       "configuration_records",
+    "configuration_pull", "suspicion",      "configuration_state", "configuration_notice",
+    "permit_queued",      "leader_claim",   "run_group",           "topic_news",
+    "member_hello",       "member_list",    "crash_suspicion",     "topic_snapshot"};
 
 constexpr std::uint32_t envelope_parts = 4;
 
--- a/src/azureshore/wire/message.hpp
+++ b/src/azureshore/wire/message.hpp
@@ -22,8 +22,8 @@
 using message =
     std::variant<heartbeat, permit_request, permit_cancel, permit_grant, permit_refusal,
                  permit_return, permit_report, configuration_records, configuration_pull, suspicion,
-                 configuration_state, configuration_notice, permit_queued, leader_claim, run_group, topic_news,
-                 member_hello, member_list, crash_suspicion>;
+                 configuration_state, configuration_notice, permit_queued, leader_claim, run_group,
+                 topic_news, member_hello, member_list, crash_suspicion, topic_snapshot>;
 
 // A message with its sender.
 struct envelope {
--- a/src/azureshore/wire/sharing_messages.hpp
+++ b/src/azureshore/wire/sharing_messages.hpp
@@ -2,6 +2,7 @@
 
 #include "azureshore/core/address.hpp"
 #include "azureshore/core/ids.hpp"
+#include "azureshore/core/time.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -23,8 +24,11 @@
     bool operator==(const shared_record&) const = default;
 };
 
-// What a daemon has read: the records in [from, next) that change anything.
+// What a daemon has read: the records in [from, next) that change anything. The first receiver in
+// another data centre passes them on to the daemons there.
 struct topic_news {
+    // The daemon that read.
+    vm_id reader;
     shared_topic topic = shared_topic::registrations;
     std::uint64_t from = 0;
     std::uint64_t next = 0;
@@ -37,11 +41,27 @@
     bool operator==(const topic_news&) const = default;
 };
 
+// All that the sender knows of a topic, in one or more messages.
+struct topic_snapshot {
+    shared_topic topic = shared_topic::registrations;
+    std::uint64_t next = 0;
+    // How long ago the sender's knowledge was as new as the store's.
+    duration age{};
+    std::uint32_t part = 0;
+    std::uint32_t parts = 1;
+    std::vector<shared_record> records;
+
+    bool operator==(const topic_snapshot&) const = default;
+};
+
 // The sender lives; sent to all at its start and its end, and to the reader after its news.
 struct member_hello {
     address where;
+    data_centre_id data_centre;
     std::uint64_t members_digest = 0;
     bool leaving = false;
+    // The sender has just started and asks for all that the receiver knows.
+    bool wants_all = false;
 
     bool operator==(const member_hello&) const = default;
 };
@@ -49,6 +69,7 @@
 struct member_entry {
     vm_id name;
     address where;
+    data_centre_id data_centre;
     bool leaving = false;
 
     bool operator==(const member_entry&) const = default;
@@ -56,6 +77,7 @@
 
 // The daemons that the sender, which reads for all, has heard of lately.
 struct member_list {
+    vm_id reader;
     std::vector<member_entry> members;
 
     bool operator==(const member_list&) const = default;
--- a/tests/wire/message_tests.cpp
+++ b/tests/wire/message_tests.cpp
@@ -71,7 +71,17 @@
             configuration_notice{17, 3, std::chrono::seconds(5)},
             permit_queued{pool, 3},
             leader_claim{pool, 5, {{"plate-2"}}},
-            run_group{{"foundry"}, 1, one_record()}};
+            run_group{{"foundry"}, 1, one_record()},
+            topic_news{{"vm-1"}, shared_topic::operators, 3, 5, {{4, "config", "{}"}}, 5, 9},
+            member_hello{{"10.0.0.1", 7000}, {"maadi"}, 9, true, true},
+            member_list{{"vm-1"}, {{{"vm-2"}, {"10.0.0.2", 7000}, {"shubra"}, true}}},
+            crash_suspicion{7},
+            topic_snapshot{shared_topic::registrations,
+                           5,
+                           std::chrono::milliseconds(3),
+                           1,
+                           2,
+                           {{4, "plate-1", std::nullopt}}}};
 }
 
 std::string bytes_of_any_length(const random_source& random, std::size_t limit)
@@ -158,9 +168,11 @@
 
 BOOST_AUTO_TEST_CASE(a_message_about_a_service_names_it)
 {
-    const std::set<std::string_view> of_no_service{"heartbeat", "configuration_records",
-                                                   "configuration_pull", "configuration_state",
-                                                   "configuration_notice"};
+    const std::set<std::string_view> of_no_service{
+        "heartbeat",           "configuration_records", "configuration_pull",
+        "configuration_state", "configuration_notice",  "topic_news",
+        "member_hello",        "member_list",           "crash_suspicion",
+        "topic_snapshot"};
     for (const auto& body : one_of_each()) {
         BOOST_TEST_CONTEXT(name_of(body))
         {
