Hold requests for a moment while a daemon that has just started learns what it needs

Ruled out: slow starts (configuration and backend servers are there 0.2 s after the start). Change: a request waits up to half its patience, at most a second, for the first configuration and list.

--- a/src/azureshore/balance/dispatcher.cpp
+++ b/src/azureshore/balance/dispatcher.cpp
@@ -46,6 +46,11 @@
     return this->inner->current;
 }
 
+void dispatcher::backends_listed()
+{
+    this->inner->backends_listed();
+}
+
 void dispatcher::backend_changed(const registration& now_known)
 {
     this->inner->book.changed(this->inner->hooks.clock(), now_known);
@@ -94,7 +99,7 @@
 
 std::size_t dispatcher::in_flight() const
 {
-    return this->inner->requests.size();
+    return this->inner->requests.size() + this->inner->held.size();
 }
 
 dispatcher_counts dispatcher::counts() const
--- a/src/azureshore/balance/dispatcher.hpp
+++ b/src/azureshore/balance/dispatcher.hpp
@@ -37,6 +37,9 @@
 
     [[nodiscard]] std::shared_ptr<const traffic_configuration> configuration() const;
 
+    // All registered backend servers are known; until then, requests wait for a moment.
+    void backends_listed();
+
     void backend_changed(const registration& now_known);
     void backend_removed(const backend_id& id);
 
--- a/src/azureshore/balance/internal/attempts.cpp
+++ b/src/azureshore/balance/internal/attempts.cpp
@@ -24,6 +24,9 @@
 constexpr duration unknown_patience = std::chrono::seconds(30);
 // Times to come back: what is missing, or room, is expected that soon.
 constexpr duration soon = std::chrono::milliseconds(100);
+// The longest that a request waits for a daemon that has just started, and how many may.
+constexpr duration longest_hold = std::chrono::milliseconds(1000);
+constexpr std::size_t most_held = 256;
 // Weights of failures against that of a lost connection.
 constexpr double error_weight = 0.5;
 constexpr double full_weight = 0.3;
@@ -49,9 +52,42 @@
     }
     this->current = std::move(next);
     this->split.reset();
+    this->begin_held();
     return true;
 }
 
+void dispatcher::state::backends_listed()
+{
+    this->listed = true;
+    this->begin_held();
+}
+
+// A daemon that has just started knows more within a moment: a request that waits for it is served,
+// one that is refused comes back to another daemon that may have started just as late.
+void dispatcher::state::hold(const arrived_request& request)
+{
+    this->held[request.number] = request;
+    const auto patience = request.patience.value_or(longest_hold * 2);
+    this->hooks.after(
+        std::min<duration>(patience / 2, longest_hold), [this, number = request.number] {
+            if (const auto late = this->held.extract(number)) {
+                this->refuse_new(late.mapped(),
+                                 {refusal_cause::no_configuration, status_unavailable, soon});
+            }
+        });
+}
+
+void dispatcher::state::begin_held()
+{
+    if (!this->knows_enough()) {
+        return;
+    }
+    const auto waiting = std::exchange(this->held, {});
+    for (const auto& [number, request] : waiting) {
+        this->take_in(request);
+    }
+}
+
 live_request* dispatcher::state::find(request_number request)
 {
     const auto found = this->requests.find(request);
@@ -79,10 +115,19 @@
 void dispatcher::state::begin(const arrived_request& request)
 {
     ++this->counted.requests;
-    if (!this->current) {
+    if (this->knows_enough()) {
+        this->take_in(request);
+    }
+    else if (this->held.size() < most_held) {
+        this->hold(request);
+    }
+    else {
         this->refuse_new(request, {refusal_cause::no_configuration, status_unavailable, soon});
-        return;
     }
+}
+
+void dispatcher::state::take_in(const arrived_request& request)
+{
     const auto* on = this->current->find_route(request.host, request.path);
     if (on == nullptr) {
         this->refuse_new(request, {refusal_cause::no_route, status_not_found, std::nullopt});
@@ -295,6 +340,7 @@
 
 void dispatcher::state::caller_gone(request_number request)
 {
+    this->held.erase(request);
     if (auto* of = this->find(request)) {
         this->log("caller_gone", *of, {});
         this->end(*of);
--- a/src/azureshore/balance/internal/dispatcher_state.hpp
+++ b/src/azureshore/balance/internal/dispatcher_state.hpp
@@ -67,6 +67,7 @@
     state(data_centre_id self, shared_bounds shared, dispatcher_hooks actions);
 
     bool configure(std::shared_ptr<const traffic_configuration> next);
+    void backends_listed();
     void begin(const arrived_request& request);
     void caller_gone(request_number request);
     void probe_ended(probe_number probe, const std::optional<probe_reading>& reading);
@@ -79,6 +80,8 @@
     std::size_t daemons = 1;
     dispatcher_counts counted;
     std::unordered_map<request_number, live_request> requests;
+    // Requests that came before this daemon knew enough to serve.
+    std::map<request_number, arrived_request> held;
 
 private:
     struct sent_probe {
@@ -103,6 +106,12 @@
     detail::work_estimate& work(const live_request& of);
     [[nodiscard]] const service_traits& traits(const live_request& of) const;
 
+    // Before this daemon knows enough to serve.
+    [[nodiscard]] bool knows_enough() const { return this->current && this->listed; }
+    void hold(const arrived_request& request);
+    void begin_held();
+    void take_in(const arrived_request& request);
+
     // Search.
     void start_search(live_request& of, bool second);
     void ask_next(live_request& of);
@@ -139,6 +148,7 @@
              std::vector<observe::decision_field> fields);
     [[nodiscard]] duration room_expected(const live_request& of);
 
+    bool listed = false;
     shared_bounds bounds;
     detail::split_choice split;
     std::map<service_id, service_state> services;
--- a/src/azureshore/daemon/gateway_daemon.cpp
+++ b/src/azureshore/daemon/gateway_daemon.cpp
@@ -111,6 +111,9 @@
         hooks.backend_removed = [this](const backend_id& id) {
             this->gateway.backend_removed(id);
         };
+        hooks.backends_listed = [this] {
+            this->gateway.decisions().backends_listed();
+        };
         hooks.members_changed = [this](const sharing::members& known) {
             this->gateway.decisions().set_fleet(known.serving(), [&known](const backend_id& id) {
                 return known.part_of(id.value, cold_sharers);
--- a/src/azureshore/daemon/internal/gateway_store.cpp
+++ b/src/azureshore/daemon/internal/gateway_store.cpp
@@ -13,25 +13,6 @@
 // How often lapsed registrations are looked at.
 constexpr duration tick_interval = std::chrono::milliseconds(250);
 
-balance::registry_hooks registry_hooks_of(const gateway_store_hooks& hooks)
-{
-    balance::registry_hooks made;
-    made.changed = [&hooks](const balance::registration& now_known) {
-        hooks.log({"backend_registered",
-                   {{"backend", now_known.id.value},
-                    {"service", now_known.service.value},
-                    {"address", to_string(now_known.where)},
-                    {"state", now_known.draining ? "draining" : "ready"},
-                    {"sequence", std::to_string(now_known.sequence)}}});
-        hooks.backend_changed(now_known);
-    };
-    made.removed = [&hooks](const backend_id& id, const std::string& why) {
-        hooks.log({"backend_removed", {{"backend", id.value}, {"why", why}}});
-        hooks.backend_removed(id);
-    };
-    return made;
-}
-
 // All daemons listen for each other at the same port.
 std::vector<address> peers_of(const settings::gateway_settings& settings)
 {
@@ -53,7 +34,7 @@
                              const gateway_platform& around, gateway_store_hooks told)
     : executor(context), platform(around), hooks(std::move(told)), self(settings.name),
       http(context), topics(around.open_topics(this->http, settings.store, settings.store_timeout)),
-      registry(registry_hooks_of(this->hooks)), timer(context),
+      registry(this->registry_hooks()), timer(context),
       socket(context, settings.peers, [this](std::string_view bytes) { this->received(bytes); }),
       sharing({settings.name, settings.peers, settings.data_centre, settings.apply_within,
                peers_of(settings)},
@@ -61,6 +42,27 @@
 {
 }
 
+balance::registry_hooks gateway_store::registry_hooks()
+{
+    balance::registry_hooks made;
+    made.changed = [this](const balance::registration& now_known) {
+        if (!this->listing) {
+            this->hooks.log({"backend_registered",
+                             {{"backend", now_known.id.value},
+                              {"service", now_known.service.value},
+                              {"address", to_string(now_known.where)},
+                              {"state", now_known.draining ? "draining" : "ready"},
+                              {"sequence", std::to_string(now_known.sequence)}}});
+        }
+        this->hooks.backend_changed(now_known);
+    };
+    made.removed = [this](const backend_id& id, const std::string& why) {
+        this->hooks.log({"backend_removed", {{"backend", id.value}, {"why", why}}});
+        this->hooks.backend_removed(id);
+    };
+    return made;
+}
+
 void gateway_store::start()
 {
     this->sharing.start();
@@ -227,7 +229,11 @@
             this->log_unreadable(each, read.status());
         }
     }
+    this->listing = true;
     this->registry.listed(clock_now(), all);
+    this->listing = false;
+    this->hooks.log({"backends_listed", {{"count", std::to_string(this->registry.size())}}});
+    this->hooks.backends_listed();
 }
 
 bool gateway_store::take_registration(const platform::keyed_record& record)
--- a/src/azureshore/daemon/internal/gateway_store.hpp
+++ b/src/azureshore/daemon/internal/gateway_store.hpp
@@ -19,6 +19,7 @@
     std::function<void(const std::set<data_centre_id>&)> out_of_service;
     std::function<void(const balance::registration&)> backend_changed;
     std::function<void(const backend_id&)> backend_removed;
+    std::function<void()> backends_listed;
     std::function<void(const sharing::members&)> members_changed;
     std::function<void(std::uint64_t fingerprint)> suspected;
     std::function<void(const observe::decision&)> log;
@@ -42,6 +43,7 @@
     [[nodiscard]] bool known() const;
 
 private:
+    balance::registry_hooks registry_hooks();
     sharing::sharing_hooks sharing_hooks();
     sharing::shared_topics shared_topics() const;
     void received(std::string_view bytes);
@@ -66,6 +68,8 @@
     asio::steady_timer timer;
     std::set<data_centre_id> out_of_service;
     bool configured = false;
+    // While a whole list is taken, its entries are logged as one.
+    bool listing = false;
     peer_socket socket;
     sharing::store_sharing sharing;
 };
--- a/src/azureshore/http1/message_reader.cpp
+++ b/src/azureshore/http1/message_reader.cpp
@@ -2,6 +2,8 @@
 
 #include <http_parser.h>
 
+#include <algorithm>
+
 namespace azureshore::http1 {
 
 namespace {
@@ -155,7 +157,12 @@
     int header_ended()
     {
         this->head_done = true;
-        if (this->kind == message_kind::request && !this->framed_safely()) {
+        const bool tunnel =
+            this->kind == message_kind::request && this->engine.method == HTTP_CONNECT;
+        // An offer to upgrade is declined by going on with this protocol.
+        this->engine.upgrade = 0;
+        if (tunnel || this->has_spaced_name() ||
+            (this->kind == message_kind::request && !this->framed_safely())) {
             this->now = read_state::malformed;
             return -1;
         }
@@ -167,6 +174,14 @@
         return this->no_body ? 1 : 0;
     }
 
+    // A space before the colon: readers differ in whether it belongs to the name.
+    [[nodiscard]] bool has_spaced_name() const
+    {
+        return std::any_of(this->fields.begin(), this->fields.end(), [](const net::field& each) {
+            return each.name.find_first_of(" \t") != std::string::npos;
+        });
+    }
+
     // A coding other than exactly "chunked", or chunks together with a length, can be framed in
     // two ways.
     [[nodiscard]] bool framed_safely() const
--- /dev/null
+++ b/tests/users_platform/decode_tests.cpp
@@ -0,0 +1,152 @@
+#include "platform/decode.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace azureshore;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string configuration = R"({"version":"0000001f",
+"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"base_version":"00000005","listeners":[{"host":"a.example","rule_set":[
+{"name":"r-1","kind":"safe","target_latency_ms":600,"priority":2,"match_criteria":{"path_prefix":"/x/"},
+"route_action":{"traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"timeout_ms":1500,"max_attempts":2}},
+{"name":"r-2","kind":"unsafe","target_latency_ms":800,"priority":1,"match_criteria":{"path_prefix":"/y/"},
+"route_action":{"service":"s2","timeout_ms":1200,"max_attempts":3}}]}],
+"clusters":[{"name":"s1","health_path":"/health","max_connections":220,"protocol":"h1","tls":false,"cold_start_s":3.5,"cold_per_s":2.9}]})";
+
+const std::string server = R"({"address":"10.128.0.9:8080","born":1700000000123,
+"info":{"service":"s1","version":"v1","zone":"maadi","slots":2},
+"status":{"state":"ready","sequence":4,"cold_remaining_ms":250}})";
+
+platform::keyed_record record(const std::string& key, std::optional<std::string> value)
+{
+    return {7, key, std::move(value)};
+}
+
+std::string without(std::string text, const std::string& what, const std::string& by)
+{
+    const auto at = text.find(what);
+    BOOST_REQUIRE(at != std::string::npos);
+    return text.replace(at, what.size(), by);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(users_platform_formats)
+
+BOOST_AUTO_TEST_CASE(a_configuration_is_read_whole)
+{
+    const auto read = users_platform::read_operator_record(record("config", configuration));
+    BOOST_REQUIRE(read.ok());
+    const auto& of = std::get<balance::traffic_configuration>(*read);
+    BOOST_TEST(of.version == 31U);
+    BOOST_REQUIRE(of.routes.size() == 2U);
+    BOOST_TEST(of.routes[0].idempotent);
+    BOOST_TEST(of.routes[0].services.size() == 2U);
+    BOOST_TEST(of.routes[0].services[1].weight == 10U);
+    BOOST_TEST((of.routes[0].timeout == 1500ms));
+    BOOST_TEST((of.routes[0].target_latency == 600ms));
+    BOOST_TEST(!of.routes[1].idempotent);
+    BOOST_TEST(of.routes[1].max_attempts == 3U);
+    BOOST_TEST(of.services[0].cold_rate == 2.9);
+    BOOST_TEST((of.services[0].cold_period == 3500ms));
+    BOOST_TEST((of.limits.idle_timeout == 15s));
+}
+
+BOOST_AUTO_TEST_CASE(a_broken_configuration_is_malformed_and_nothing_else)
+{
+    for (const auto* const what :
+         {"\"0000001f\"", "\"r-1\"", "600", "\"/x/\"", "\"s1\"", "90", "220", "2.9", "16384"}) {
+        BOOST_TEST_CONTEXT(what)
+        BOOST_TEST(!users_platform::read_operator_record(
+                        record("config", without(configuration, what, "[]")))
+                        .ok());
+    }
+    BOOST_TEST(!users_platform::read_operator_record(record("config", "{\"ver")).ok());
+}
+
+BOOST_AUTO_TEST_CASE(a_data_centre_is_out_of_service_while_its_record_stands)
+{
+    const auto out = users_platform::read_operator_record(record("evacuate/maadi", "{}"));
+    const auto back = users_platform::read_operator_record(record("evacuate/maadi", std::nullopt));
+    BOOST_TEST((std::get<daemon::data_centre_service>(*out) ==
+                daemon::data_centre_service{{"maadi"}, false}));
+    BOOST_TEST((std::get<daemon::data_centre_service>(*back) ==
+                daemon::data_centre_service{{"maadi"}, true}));
+}
+
+BOOST_AUTO_TEST_CASE(other_records_of_the_operators_are_of_no_use)
+{
+    const auto read = users_platform::read_operator_record(record("notes", "hello"));
+    BOOST_TEST(std::holds_alternative<daemon::unused_record>(*read));
+}
+
+BOOST_AUTO_TEST_CASE(a_backend_server_is_read_from_its_record)
+{
+    const auto read = users_platform::read_registration(record("i-1", server));
+    BOOST_REQUIRE(read.ok());
+    BOOST_TEST(read->id.value == "i-1");
+    BOOST_TEST(read->data_centre.value == "maadi");
+    BOOST_TEST(to_string(read->where) == "10.128.0.9:8080");
+    BOOST_TEST(read->slots == 2U);
+    BOOST_TEST(!read->draining);
+    BOOST_TEST(read->sequence == 4U);
+    BOOST_TEST((read->cold_remaining == 250ms));
+    BOOST_TEST(read->started_at == 1700000000123);
+}
+
+BOOST_AUTO_TEST_CASE(a_record_of_another_writer_names_no_backend_server)
+{
+    for (const auto* const what :
+         {"\"10.128.0.9:8080\"", "\"s1\"", "\"maadi\"", "2}", "\"ready\"", "4,", "250"}) {
+        const std::string text(what);
+        const std::string by = text == "2}" ? "\"2\"}" : text == "4," ? "{}," : "null";
+        BOOST_TEST_CONTEXT(what)
+        BOOST_TEST(
+            !users_platform::read_registration(record("i-1", without(server, text, by))).ok());
+    }
+    BOOST_TEST(
+        !users_platform::read_registration(record("i-1", without(server, "ready", "sleeping")))
+             .ok());
+    BOOST_TEST(!users_platform::read_registration(record("i-1", std::string("\xff\x00", 2))).ok());
+}
+
+BOOST_AUTO_TEST_CASE(a_load_has_three_figures_and_at_times_a_fourth)
+{
+    BOOST_TEST((*users_platform::read_load("3,1,8") == balance::load_reading{3, 1, 8, 1.0}));
+    BOOST_TEST((*users_platform::read_load("0,0,2,500") == balance::load_reading{0, 0, 2, 5.0}));
+    for (const auto* const text : {"", "3", "3,1", "a,b,c", "-1,0,2"}) {
+        BOOST_TEST_CONTEXT(text)
+        BOOST_TEST(!users_platform::read_load(text).has_value());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(records_are_read_as_far_as_they_are_whole)
+{
+    const auto one = users_platform::write_keyed("k", "value");
+    const auto dropped = users_platform::write_keyed("k", "");
+    const std::string head(16, '\0');
+    const auto read = users_platform::read_records(head + one + dropped + one.substr(0, 6), 40);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_REQUIRE(read->records.size() == 2U);
+    BOOST_TEST((read->records[0] == platform::keyed_record{40, "k", "value"}));
+    BOOST_TEST((read->records[1] == platform::keyed_record{41, "k", std::nullopt}));
+    BOOST_TEST(read->next_offset == 42U);
+    BOOST_TEST(!users_platform::read_records("short", 0).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_page_of_the_newest_records_is_read)
+{
+    const auto page = users_platform::read_newest(
+        R"({"items":[{"key":"config","value":"e30=","offset":4}],"more":true,"end_offset":6})");
+    BOOST_REQUIRE(page.has_value());
+    BOOST_TEST(page->more);
+    BOOST_TEST(page->end_offset == 6U);
+    BOOST_TEST((page->records[0] == platform::keyed_record{4, "config", "{}"}));
+    BOOST_TEST(!users_platform::read_newest("{}").has_value());
+    BOOST_TEST(!users_platform::read_newest("").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
