Prefer the own data centre, spare nearly full servers, and give room first to what can be in time

Change: cost of another data centre 0.08 to 0.9 of an idle server's, the last slots cost more, queue by what can be in time, second sends only to servers with room.

--- a/src/azureshore/balance/internal/attempts.cpp
+++ b/src/azureshore/balance/internal/attempts.cpp
@@ -149,8 +149,12 @@
     const auto ends = of.deadline + (patience < on->timeout ? after_deadline : duration{});
     this->hooks.after(ends - this->now(),
                       [this, number = request.number] { this->deadline_passed(number); });
+    // Those that wait go first, unless this one is more urgent.
     const auto& queue = this->service(of.service).queue;
-    if (!queue.empty() && this->find(queue.front())->on->priority <= on->priority) {
+    const bool others_first = std::any_of(queue.begin(), queue.end(), [&](request_number each) {
+        return this->goes_before(*this->find(each), of);
+    });
+    if (others_first) {
         this->wait_for_room(of);
         return;
     }
--- a/src/azureshore/balance/internal/backend_book.cpp
+++ b/src/azureshore/balance/internal/backend_book.cpp
@@ -22,11 +22,14 @@
 // Spreads the daemons' choices among equals; in units of the cost of an idle backend server.
 constexpr double spread = 0.5;
 // The way to another data centre, in the same units.
-constexpr double other_data_centre = 0.08;
+constexpr double other_data_centre = 0.9;
 // Weight of a recent failure, in the same units.
 constexpr double failure_cost = 1.0;
-// Slows a backend server that is nearly full.
-constexpr double crowding = 0.4;
+// Requests that run beside each other slow each other a little, and one that takes the last slots
+// of a backend server much: some are slow when they are nearly full.
+constexpr double crowding = 0.2;
+constexpr double nearly_full = 0.8;
+constexpr double nearly_full_cost = 0.4;
 // A cold backend server takes about twice as long.
 constexpr double cold_cost = 1.0;
 // Share of a cold backend server's rate that is used, as arrivals bunch on their way.
@@ -39,6 +42,9 @@
     const auto slots = static_cast<double>(std::max<std::size_t>(load.slots, 1));
     const auto running = static_cast<double>(load.running);
     double crowd = 1 + crowding * std::min(running / slots, 1.0);
+    if (running + 1 > nearly_full * slots) {
+        crowd += nearly_full_cost;
+    }
     if (load.running + load.waiting >= load.slots) {
         crowd += (running + static_cast<double>(load.waiting) + 1 - slots) / slots;
     }
--- a/src/azureshore/balance/internal/dispatcher_state.hpp
+++ b/src/azureshore/balance/internal/dispatcher_state.hpp
@@ -89,7 +89,7 @@
         backend_id backend;
         std::uint64_t generation = 0;
     };
-    // The requests of one service that wait for room, the most urgent first.
+    // The requests of one service that wait for room.
     struct service_state {
         explicit service_state(const shared_bounds& shared)
             : allowance(shared.retry_ratio, shared.retry_slack, shared.retry_window)
@@ -126,6 +126,7 @@
     void wait_for_room(live_request& of);
     void set_queue_timer(const service_id& name);
     void serve_queue(const service_id& name);
+    [[nodiscard]] bool goes_before(const live_request& left, const live_request& right);
     void leave_queue(live_request& of);
 
     // Attempts.
--- a/src/azureshore/balance/internal/search.cpp
+++ b/src/azureshore/balance/internal/search.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <tuple>
 #include <utility>
 
 namespace azureshore::balance {
@@ -19,6 +20,9 @@
 constexpr duration queue_interval = std::chrono::milliseconds(12);
 // A request is hopeless when less than this share of its usual time at the server is left.
 constexpr double least_share = 0.8;
+// The most that a backend server may cost for a second send beside the first.
+constexpr double second_send_cost = 1.5;
+constexpr double unlimited_cost = 1e9;
 // Bounds the requests that wait for one service.
 constexpr std::size_t most_waiting = 512;
 
@@ -162,7 +166,10 @@
             return;
         }
     }
-    if (best && search->second && !best->full && this->may_try_again(of)) {
+    // While the first attempt runs, a second one must not take the room of other requests.
+    const double most_cost = of.running.empty() ? unlimited_cost : second_send_cost;
+    if (best && search->second && !best->full && best->cost <= most_cost &&
+        this->may_try_again(of)) {
         this->send(of, *best);
         return;
     }
@@ -196,13 +203,7 @@
         this->refuse(of, {refusal_cause::overloaded, 503, this->room_expected(of)});
         return;
     }
-    const auto place =
-        std::find_if(waiting.queue.begin(), waiting.queue.end(), [&](request_number each) {
-            const auto* other = this->find(each);
-            return other->on->priority > of.on->priority ||
-                   (other->on->priority == of.on->priority && other->in.arrived > of.in.arrived);
-        });
-    waiting.queue.insert(place, of.in.number);
+    waiting.queue.push_back(of.in.number);
     of.queued = true;
     this->set_queue_timer(of.service);
 }
@@ -235,6 +236,10 @@
     if (waiting.queue.empty()) {
         return;
     }
+    std::sort(waiting.queue.begin(), waiting.queue.end(),
+              [this](request_number left, request_number right) {
+                  return this->goes_before(*this->find(left), *this->find(right));
+              });
     auto& first = *this->find(waiting.queue.front());
     this->leave_queue(first);
     if (!waiting.queue.empty()) {
@@ -243,6 +248,17 @@
     this->start_search(first, !first.running.empty());
 }
 
+// Room goes first to requests that can still be answered within their target: under overload, the
+// others would only make these late too. Then to the more urgent, then to the older.
+bool dispatcher::state::goes_before(const live_request& left, const live_request& right)
+{
+    const auto late = [this](const live_request& of) {
+        return this->now() + this->work(of).expected(1.0) > of.in.arrived + of.on->target_latency;
+    };
+    return std::make_tuple(late(left), left.on->priority, left.in.arrived) <
+           std::make_tuple(late(right), right.on->priority, right.in.arrived);
+}
+
 void dispatcher::state::leave_queue(live_request& of)
 {
     if (!of.queued) {
