Bound the probes of all daemons, and wait for a free slot instead of queueing at servers

Cause: late answers in bursts came from requests that queued at the servers, whose slow spells a queue can't avoid; looking for room every 6 ms asked 70 times a server and second, over the 60 that operators allow. Ruled out: looking more often (no gain). Change: a server with no free slot is full; probes have an allowance by the daemon's part of all requests, which travels with hellos and news; a request that waits asks three servers at a time.

--- a/src/azureshore/balance/dispatch_types.hpp
+++ b/src/azureshore/balance/dispatch_types.hpp
@@ -118,6 +118,8 @@
     double retry_ratio = 0.2;
     double retry_slack = 50;
     duration retry_window = std::chrono::seconds(10);
+    // Health checks a second to one backend server.
+    double probes_per_second = 60;
 };
 
 } // namespace azureshore::balance
--- a/src/azureshore/balance/dispatcher.cpp
+++ b/src/azureshore/balance/dispatcher.cpp
@@ -72,6 +72,16 @@
     this->inner->book.set_cold_part(std::move(cold_part));
 }
 
+void dispatcher::set_total_rate(std::function<double()> total)
+{
+    this->inner->total_rate = std::move(total);
+}
+
+double dispatcher::request_rate() const
+{
+    return this->inner->request_rate();
+}
+
 void dispatcher::suspect(std::uint64_t fingerprint)
 {
     this->inner->suspected.lost(this->inner->hooks.clock(), fingerprint);
--- a/src/azureshore/balance/dispatcher.hpp
+++ b/src/azureshore/balance/dispatcher.hpp
@@ -50,6 +50,12 @@
     // cold backend server bears.
     void set_fleet(std::size_t daemons, std::function<double(const backend_id&)> cold_part);
 
+    // How to learn the requests a second that all daemons get together; zero if unknown.
+    void set_total_rate(std::function<double()> total);
+
+    // Requests a second that this daemon got lately.
+    [[nodiscard]] double request_rate() const;
+
     // Another daemon saw a backend server's process end under a request of that fingerprint.
     void suspect(std::uint64_t fingerprint);
 
--- a/src/azureshore/balance/internal/attempts.cpp
+++ b/src/azureshore/balance/internal/attempts.cpp
@@ -88,6 +88,12 @@
     }
 }
 
+double dispatcher::state::request_rate()
+{
+    return static_cast<double>(this->arrivals.count(this->now())) /
+           std::chrono::duration<double>(rate_window).count();
+}
+
 live_request* dispatcher::state::find(request_number request)
 {
     const auto found = this->requests.find(request);
@@ -115,6 +121,7 @@
 void dispatcher::state::begin(const arrived_request& request)
 {
     ++this->counted.requests;
+    this->arrivals.add(this->now());
     if (this->knows_enough()) {
         this->take_in(request);
     }
--- a/src/azureshore/balance/internal/dispatcher_state.hpp
+++ b/src/azureshore/balance/internal/dispatcher_state.hpp
@@ -5,6 +5,7 @@
 #include "azureshore/balance/internal/split_choice.hpp"
 #include "azureshore/balance/internal/suspects.hpp"
 #include "azureshore/balance/internal/work_estimate.hpp"
+#include "azureshore/balance/probe_allowance.hpp"
 #include "azureshore/balance/retry_allowance.hpp"
 
 #include <deque>
@@ -34,6 +35,8 @@
     std::uint64_t generation = 0;
     // Whether it looks for a second backend server while an attempt runs.
     bool second = false;
+    // Most backend servers that it asks.
+    std::size_t most_asked = 1;
 };
 
 struct running_attempt {
@@ -64,6 +67,9 @@
 
 class dispatcher::state {
 public:
+    // Requests are counted over this time.
+    static constexpr duration rate_window = std::chrono::seconds(2);
+
     state(data_centre_id self, shared_bounds shared, dispatcher_hooks actions);
 
     bool configure(std::shared_ptr<const traffic_configuration> next);
@@ -73,7 +79,10 @@
     void probe_ended(probe_number probe, const std::optional<probe_reading>& reading);
     void attempt_ended(attempt_number attempt, const attempt_result& result);
 
+    [[nodiscard]] double request_rate();
+
     detail::backend_book book;
+    std::function<double()> total_rate;
     detail::suspects suspected;
     dispatcher_hooks hooks;
     std::shared_ptr<const traffic_configuration> current;
@@ -96,6 +105,7 @@
         {
         }
         retry_allowance allowance;
+        probe_allowance probes;
         std::vector<request_number> queue;
         bool timer_set = false;
     };
@@ -113,8 +123,9 @@
     void take_in(const arrived_request& request);
 
     // Search.
-    void start_search(live_request& of, bool second);
+    void start_search(live_request& of, bool second, bool waited = false);
     void ask_next(live_request& of);
+    bool take_probe(const service_id& name);
     void search_timer(request_number request, std::uint64_t generation);
     void take_reading(live_request& of, const sent_probe& asked, probe_number probe,
                       const probe_reading& reading);
@@ -150,6 +161,7 @@
     [[nodiscard]] duration room_expected(const live_request& of);
 
     bool listed = false;
+    window_count arrivals{rate_window};
     shared_bounds bounds;
     detail::split_choice split;
     std::map<service_id, service_state> services;
--- a/src/azureshore/balance/internal/search.cpp
+++ b/src/azureshore/balance/internal/search.cpp
@@ -23,14 +23,21 @@
 // The most that a backend server may cost for a second send beside the first.
 constexpr double second_send_cost = 1.5;
 constexpr double unlimited_cost = 1e9;
+// Share of the allowed probes that is used, as the daemons' parts are known with a delay, and the
+// least of an even part that a daemon with few requests has.
+constexpr double probe_use = 0.85;
+constexpr double least_part = 0.2;
+// A request that waits looks again and again, so each time it asks few.
+constexpr std::size_t asked_after_wait = 3;
 // Bounds the requests that wait for one service.
 constexpr std::size_t most_waiting = 512;
 
 } // namespace
 
-void dispatcher::state::start_search(live_request& of, bool second)
+void dispatcher::state::start_search(live_request& of, bool second, bool waited)
 {
     of.search.emplace();
+    of.search->most_asked = waited ? asked_after_wait : good_enough.size();
     of.search->generation = ++this->last_generation;
     of.search->second = second;
     this->hooks.after(
@@ -46,7 +53,7 @@
 void dispatcher::state::ask_next(live_request& of)
 {
     auto& search = *of.search;
-    if (search.asked.size() >= good_enough.size()) {
+    if (search.asked.size() >= search.most_asked) {
         if (search.pending == 0) {
             this->decide(of);
         }
@@ -55,7 +62,7 @@
     auto besides = search.asked;
     besides.insert(of.tried.begin(), of.tried.end());
     const auto candidates = this->book.candidates(this->now(), this->traits(of), besides);
-    if (candidates.empty()) {
+    if (candidates.empty() || !this->take_probe(of.service)) {
         if (search.pending == 0) {
             this->decide(of);
         }
@@ -81,6 +88,19 @@
         {probe, chosen.registered.id, chosen.registered.where, this->traits(of).health_path});
 }
 
+// Takes one of this daemon's part of the probes. Its part is that of the requests: where more of
+// them come, more choices are made.
+bool dispatcher::state::take_probe(const service_id& name)
+{
+    const double total = this->total_rate ? this->total_rate() : 0;
+    const double own = this->request_rate();
+    const double even = 1 / static_cast<double>(std::max<std::size_t>(this->daemons, 1));
+    const double part = total > 0 ? std::max(std::min(own / total, 1.0), even * least_part) : even;
+    const double a_second = probe_use * this->bounds.probes_per_second * part *
+                            static_cast<double>(this->book.in_service(name));
+    return this->service(name).probes.take(this->now(), a_second);
+}
+
 void dispatcher::state::probe_ended(probe_number probe, const std::optional<probe_reading>& reading)
 {
     const auto found = this->probes.find(probe);
@@ -120,8 +140,7 @@
     const load_reading load =
         reading.load.value_or(load_reading{known->in_flight, 0, known->registered.slots, 1});
     found_backend here{asked.backend, probe, detail::cost_of(load),
-                       load.running + load.waiting >= load.slots &&
-                           load.waiting >= std::max<std::size_t>(load.slots, 1)};
+                       load.running + load.waiting >= load.slots};
     if (this->now() < known->cold_until) {
         here.cost *= 2;
     }
@@ -245,7 +264,7 @@
     if (!waiting.queue.empty()) {
         this->set_queue_timer(name);
     }
-    this->start_search(first, !first.running.empty());
+    this->start_search(first, !first.running.empty(), true);
 }
 
 // Room goes first to requests that can still be answered within their target: under overload, the
--- a/src/azureshore/daemon/gateway_daemon.cpp
+++ b/src/azureshore/daemon/gateway_daemon.cpp
@@ -89,7 +89,7 @@
         made.data_centre = this->settings.data_centre;
         made.callers = this->settings.callers;
         made.bounds = {this->settings.retry_ratio, this->settings.retry_slack,
-                       this->settings.retry_window};
+                       this->settings.retry_window, this->settings.probes_per_second};
         return made;
     }
 
@@ -118,6 +118,11 @@
             this->gateway.decisions().set_fleet(known.serving(), [&known](const backend_id& id) {
                 return known.part_of(id.value, cold_sharers);
             });
+            this->gateway.decisions().set_total_rate(
+                [this] { return this->store.total_request_rate(); });
+        };
+        hooks.request_rate = [this] {
+            return this->gateway.decisions().request_rate();
         };
         hooks.suspected = [this](std::uint64_t fingerprint) {
             this->gateway.decisions().suspect(fingerprint);
--- a/src/azureshore/daemon/internal/gateway_store.cpp
+++ b/src/azureshore/daemon/internal/gateway_store.cpp
@@ -79,6 +79,11 @@
     this->sharing.tell_suspicion(fingerprint);
 }
 
+double gateway_store::total_request_rate() const
+{
+    return this->sharing.total_request_rate();
+}
+
 bool gateway_store::known() const
 {
     return this->configured && this->sharing.listed();
@@ -125,6 +130,7 @@
     made.members_changed = [this] {
         this->members_changed();
     };
+    made.request_rate = this->hooks.request_rate;
     made.random = system_random();
     made.suspected = [this](std::uint64_t fingerprint) {
         this->hooks.suspected(fingerprint);
--- a/src/azureshore/daemon/internal/gateway_store.hpp
+++ b/src/azureshore/daemon/internal/gateway_store.hpp
@@ -22,6 +22,7 @@
     std::function<void()> backends_listed;
     std::function<void(const sharing::members&)> members_changed;
     std::function<void(std::uint64_t fingerprint)> suspected;
+    std::function<double()> request_rate;
     std::function<void(const observe::decision&)> log;
 };
 
@@ -39,6 +40,9 @@
 
     void tell_suspicion(std::uint64_t fingerprint);
 
+    // Requests a second that all daemons get together; zero if unknown.
+    [[nodiscard]] double total_request_rate() const;
+
     // Whether both the configuration and the backend servers have been read.
     [[nodiscard]] bool known() const;
 
--- a/src/azureshore/settings/gateway_settings.hpp
+++ b/src/azureshore/settings/gateway_settings.hpp
@@ -41,6 +41,9 @@
     double retry_slack = 50;
     duration retry_window = std::chrono::seconds(10);
 
+    // Health checks a second that one backend server gets from all daemons, on average.
+    double probes_per_second = 60;
+
     std::size_t log_lines_per_second = 100;
 };
 
--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -21,6 +21,7 @@
 
     members known;
     bool members_listed = false;
+    double total_request_rate = 0;
 
 private:
     // What one read found, kept so that a lost message is made up for by the next ones.
@@ -81,6 +82,7 @@
     void pass_on(const wire::envelope& received, const vm_id& origin);
     void tell_news(followed_topic& of);
     void heard_news(const wire::topic_news& news);
+    double sum_of_rates();
     void heard_hello(const vm_id& from, const wire::member_hello& hello);
     void say_hello(const address& to, bool wants_all = false);
     void say_hello_to_first();
@@ -102,6 +104,8 @@
     // Since when this daemon reads for all.
     time_point reading_since;
     bool check_set = false;
+    // What each daemon told this one of its requests a second.
+    std::map<vm_id, double> request_rates;
     // Some daemon knows others than this one does.
     bool views_differ = false;
 };
--- a/src/azureshore/sharing/store_sharing.cpp
+++ b/src/azureshore/sharing/store_sharing.cpp
@@ -488,6 +488,8 @@
     news.next = of.next;
     news.operators_next = this->topic(wire::shared_topic::operators).next;
     news.members_digest = this->known.digest();
+    news.request_rate = this->sum_of_rates();
+    this->total_request_rate = news.request_rate;
     for (const auto& each : of.rounds) {
         news.records.insert(news.records.end(), each.records.begin(), each.records.end());
     }
@@ -506,6 +508,17 @@
     }
 }
 
+double store_sharing::state::sum_of_rates()
+{
+    std::erase_if(this->request_rates,
+                  [this](const auto& each) { return !this->known.knows(each.first); });
+    double sum = this->hooks.request_rate();
+    for (const auto& [name, rate] : this->request_rates) {
+        sum += rate;
+    }
+    return sum;
+}
+
 void store_sharing::state::receive(const wire::envelope& received)
 {
     if (const auto* news = std::get_if<wire::topic_news>(&received.body)) {
@@ -550,6 +563,7 @@
         now - this->reader_heard > part_of(this->settings.apply_within, takeover_part) ||
         this->known.rank_of(from) <= this->known.rank_of(*this->reader);
     if (better) {
+        this->total_request_rate = news.request_rate;
         this->reader = from;
         this->reader_heard = now;
     }
@@ -590,6 +604,7 @@
 void store_sharing::state::heard_hello(const vm_id& from, const wire::member_hello& hello)
 {
     const bool stranger = !this->known.knows(from);
+    this->request_rates[from] = hello.request_rate;
     if (this->known.heard(this->now(), {from, hello.where, hello.data_centre, hello.leaving})) {
         this->hooks.members_changed();
     }
@@ -608,7 +623,8 @@
 void store_sharing::state::say_hello(const address& to, bool wants_all)
 {
     this->hooks.send(to, wire::member_hello{this->settings.where, this->settings.data_centre,
-                                            this->known.digest(), this->leaving, wants_all});
+                                            this->known.digest(), this->leaving, wants_all,
+                                            this->hooks.request_rate()});
 }
 
 // A daemon that hears no news may be unknown to those that tell them.
@@ -686,6 +702,11 @@
     return this->inner->members_listed;
 }
 
+double store_sharing::total_request_rate() const
+{
+    return this->inner->total_request_rate;
+}
+
 const members& store_sharing::known() const
 {
     return this->inner->known;
--- a/src/azureshore/sharing/store_sharing.hpp
+++ b/src/azureshore/sharing/store_sharing.hpp
@@ -37,6 +37,8 @@
     std::function<void()> back;
     std::function<void()> members_changed;
     std::function<void(std::uint64_t fingerprint)> suspected;
+    // Requests a second that this daemon gets.
+    std::function<double()> request_rate;
     random_source random;
 };
 
@@ -77,6 +79,9 @@
     // Whether the daemons that announced themselves have been read.
     [[nodiscard]] bool members_listed() const;
 
+    // Requests a second that all daemons get together, as far as they have told; zero if unknown.
+    [[nodiscard]] double total_request_rate() const;
+
     [[nodiscard]] const members& known() const;
 
 private:
--- a/src/azureshore/wire/internal/fields.hpp
+++ b/src/azureshore/wire/internal/fields.hpp
@@ -72,8 +72,9 @@
 
 AZURESHORE_FIELDS(shared_record, m.offset, m.key, m.value);
 AZURESHORE_FIELDS(topic_news, m.reader, m.topic, m.from, m.next, m.records, m.operators_next,
-                  m.members_digest);
-AZURESHORE_FIELDS(member_hello, m.where, m.data_centre, m.members_digest, m.leaving, m.wants_all);
+                  m.members_digest, m.request_rate);
+AZURESHORE_FIELDS(member_hello, m.where, m.data_centre, m.members_digest, m.leaving, m.wants_all,
+                  m.request_rate);
 AZURESHORE_FIELDS(topic_snapshot, m.topic, m.next, m.age, m.part, m.parts, m.records);
 AZURESHORE_FIELDS(member_entry, m.name, m.where, m.data_centre, m.leaving);
 AZURESHORE_FIELDS(member_list, m.reader, m.members);
--- a/src/azureshore/wire/sharing_messages.hpp
+++ b/src/azureshore/wire/sharing_messages.hpp
@@ -37,6 +37,8 @@
     std::uint64_t operators_next = 0;
     // Tells whether the receiver knows the same daemons.
     std::uint64_t members_digest = 0;
+    // Requests a second that all daemons get together.
+    double request_rate = 0;
 
     bool operator==(const topic_news&) const = default;
 };
@@ -62,6 +64,8 @@
     bool leaving = false;
     // The sender has just started and asks for all that the receiver knows.
     bool wants_all = false;
+    // Requests a second that the sender gets.
+    double request_rate = 0;
 
     bool operator==(const member_hello&) const = default;
 };
--- a/tests/balance/dispatcher_tests.cpp
+++ b/tests/balance/dispatcher_tests.cpp
@@ -355,6 +355,20 @@
                bounds.retry_ratio * static_cast<double>(requests) + bounds.retry_slack);
 }
 
+// Far more requests than the servers bear, which would look for room all the time.
+BOOST_AUTO_TEST_CASE(probes_stay_within_their_bound_under_overload)
+{
+    equal_servers of(13, 4, true);
+    of.world.load("/plates/1", 300, 40s, timeout);
+    of.world.clock.run_for(40s);
+    std::uint64_t probes = 0;
+    for (std::size_t i = 0; i < 13; ++i) {
+        probes += of.world.dispatcher(i).counts().probes;
+    }
+    const shared_bounds bounds;
+    BOOST_TEST(static_cast<double>(probes) <= bounds.probes_per_second * 4 * 40);
+}
+
 BOOST_AUTO_TEST_CASE(a_weighted_route_gives_each_service_its_share)
 {
     dispatch_world world(3, 1);
--- a/tests/sharing/sharing_cluster.cpp
+++ b/tests/sharing/sharing_cluster.cpp
@@ -236,6 +236,9 @@
     };
     made.members_changed = [] {
     };
+    made.request_rate = [index] {
+        return static_cast<double>(index);
+    };
     made.random = seeded_random(index);
     made.suspected = [](std::uint64_t) {
     };
--- a/tests/sharing/store_sharing_tests.cpp
+++ b/tests/sharing/store_sharing_tests.cpp
@@ -238,6 +238,15 @@
     BOOST_TEST(cluster->store.calls - before <= 8U);
 }
 
+BOOST_AUTO_TEST_CASE(every_daemon_learns_how_many_requests_all_get_together)
+{
+    auto cluster = settled_cluster(few, 18);
+    for (std::size_t i = 0; i < few; ++i) {
+        // Each gets as many a second as its number.
+        BOOST_TEST(cluster->sharing_of(i).total_request_rate() == 78.0);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(each_cold_backend_server_has_two_daemons_that_share_its_rate)
 {
     auto cluster = settled_cluster(few, 12);
