--- a/src/azureshore/gateway/gateway.cpp
+++ b/src/azureshore/gateway/gateway.cpp
@@ -272,6 +272,11 @@
     this->inner->port.stop();
 }
 
+std::uint16_t http_gateway::port() const
+{
+    return this->inner->port.port();
+}
+
 std::size_t http_gateway::in_flight() const
 {
     return this->inner->port.in_flight();
--- a/src/azureshore/gateway/gateway.hpp
+++ b/src/azureshore/gateway/gateway.hpp
@@ -46,6 +46,9 @@
     // Takes no new connections.
     void stop();
 
+    // The port in use.
+    [[nodiscard]] std::uint16_t port() const;
+
     // Requests whose answers are not sent whole.
     [[nodiscard]] std::size_t in_flight() const;
 
