--- a/src/azureshore/balance/dispatcher.cpp
+++ b/src/azureshore/balance/dispatcher.cpp
@@ -66,6 +66,11 @@
     this->inner->book.set_out_of_service(std::move(data_centres));
 }
 
+void dispatcher::set_bounds(const shared_bounds& bounds)
+{
+    this->inner->set_bounds(bounds);
+}
+
 void dispatcher::set_fleet(std::size_t daemons, std::function<double(const backend_id&)> cold_part)
 {
     this->inner->daemons = daemons;
--- a/src/azureshore/balance/dispatcher.hpp
+++ b/src/azureshore/balance/dispatcher.hpp
@@ -46,6 +46,9 @@
     // The data centres to whose backend servers nothing is sent.
     void set_out_of_service(std::set<data_centre_id> data_centres);
 
+    // Takes other bounds from now on.
+    void set_bounds(const shared_bounds& bounds);
+
     // How many daemons share the bounds, and this one's part, from 0 to 1, of the requests that a
     // cold backend server bears.
     void set_fleet(std::size_t daemons, std::function<double(const backend_id&)> cold_part);
--- a/src/azureshore/balance/internal/attempts.cpp
+++ b/src/azureshore/balance/internal/attempts.cpp
@@ -56,6 +56,14 @@
     return true;
 }
 
+void dispatcher::state::set_bounds(const shared_bounds& shared)
+{
+    this->bounds = shared;
+    for (auto& [name, each] : this->services) {
+        each.allowance.set_bounds(shared.retry_ratio, shared.retry_slack);
+    }
+}
+
 void dispatcher::state::backends_listed()
 {
     this->listed = true;
--- a/src/azureshore/balance/internal/dispatcher_state.hpp
+++ b/src/azureshore/balance/internal/dispatcher_state.hpp
@@ -74,6 +74,7 @@
 
     bool configure(std::shared_ptr<const traffic_configuration> next);
     void backends_listed();
+    void set_bounds(const shared_bounds& shared);
     void begin(const arrived_request& request);
     void caller_gone(request_number request);
     void probe_ended(probe_number probe, const std::optional<probe_reading>& reading);
--- a/src/azureshore/balance/retry_allowance.hpp
+++ b/src/azureshore/balance/retry_allowance.hpp
@@ -16,6 +16,12 @@
     {
     }
 
+    void set_bounds(double share, double fixed)
+    {
+        this->ratio = share;
+        this->slack = fixed;
+    }
+
     void request(time_point now) { this->requests.add(now); }
 
     [[nodiscard]] bool allows(time_point now, std::size_t daemons)
--- a/src/azureshore/daemon/gateway_daemon.cpp
+++ b/src/azureshore/daemon/gateway_daemon.cpp
@@ -26,6 +26,8 @@
 constexpr duration balancer_lag = std::chrono::milliseconds(2600);
 // A planned stop ends this long before it must, as timers fire late.
 constexpr duration stop_margin = std::chrono::milliseconds(500);
+// How often the settings file is compared with what was read of it.
+constexpr duration file_interval = std::chrono::seconds(1);
 constexpr duration stop_check = std::chrono::milliseconds(50);
 // Daemons that may send to one cold backend server: a second takes over at once when one ends.
 constexpr std::size_t cold_sharers = 2;
@@ -56,7 +58,9 @@
           log({from.log_lines_per_second}, observe::descriptor_sink(STDOUT_FILENO), wall_clock_ms),
           gateway(
               this->executor, this->make_settings(), this->platform.words,
-              [this](const observe::decision& made) { this->write(made); },
+              [this](const observe::decision& made) {
+                  this->log.write(clock_now(), observe::event_kind::request, made);
+              },
               [this](std::uint64_t fingerprint) { this->store.tell_suspicion(fingerprint); }),
           store(this->executor, from, this->platform, this->make_store_hooks()),
           ready_port(this->executor, from.ready, this->make_ready_hooks()),
@@ -69,6 +73,7 @@
         std::signal(SIGPIPE, SIG_IGN);
         this->await_signal();
         this->flush_log();
+        this->watch_file();
         this->write({"start",
                      {{"vm", this->settings.name.value},
                       {"version", std::string(version)},
@@ -160,7 +165,10 @@
 
     [[nodiscard]] bool ready() const { return !this->stopping && this->store.known(); }
 
-    void write(const observe::decision& event) { this->log.write(clock_now(), event); }
+    void write(const observe::decision& event)
+    {
+        this->log.write(clock_now(), observe::event_kind::state, event);
+    }
 
     void share_bounds()
     {
@@ -186,7 +194,7 @@
                 return;
             }
             if (number == SIGHUP) {
-                this->reload();
+                this->reload("signal");
             }
             else {
                 this->begin_stop();
@@ -195,8 +203,24 @@
         });
     }
 
-    // Addresses can't change while the process runs; the rest is taken.
-    void reload()
+    // The file may change without a signal.
+    void watch_file()
+    {
+        const auto text = settings::read_text_file(this->settings_file);
+        if (text && *text != std::exchange(this->settings_text, *text) && this->file_read) {
+            this->reload("file_changed");
+        }
+        this->file_read = this->file_read || text.has_value();
+        this->file_timer.expires_after(file_interval);
+        this->file_timer.async_wait([this](const asio::error_code& error) {
+            if (!error) {
+                this->watch_file();
+            }
+        });
+    }
+
+    // Addresses can't change while the process runs; the bounds are taken.
+    void reload(const std::string& why)
     {
         auto loaded = settings::load_gateway_settings(this->settings_file);
         if (const auto* problems = std::get_if<std::vector<settings::problem>>(&loaded)) {
@@ -204,7 +228,8 @@
             return;
         }
         this->settings = std::get<settings::gateway_settings>(loaded);
-        this->write({"reload", {{"file", this->settings_file}}});
+        this->gateway.decisions().set_bounds(this->make_settings().bounds);
+        this->write({"reload", {{"why", why}, {"file", this->settings_file}}});
     }
 
     void begin_stop()
@@ -247,6 +272,9 @@
     asio::signal_set signals{this->executor, SIGTERM, SIGINT, SIGHUP};
     asio::steady_timer log_timer{this->executor};
     asio::steady_timer stop_timer{this->executor};
+    asio::steady_timer file_timer{this->executor};
+    std::string settings_text;
+    bool file_read = false;
     bool stopping = false;
     time_point stop_began{};
     gateway::http_gateway gateway;
--- a/src/azureshore/gateway/backend_pool.cpp
+++ b/src/azureshore/gateway/backend_pool.cpp
@@ -57,7 +57,7 @@
             return !answers_at_all(answer, this->words);
         };
         next.done = [this, order, connection,
-                     done = std::move(done)](detail::exchange_result result) {
+                     done = std::move(done)](const detail::exchange_result& result) {
             const auto reading = this->read_probe(order, result);
             if (reading) {
                 this->held[order.probe] = {order.backend, connection};
@@ -146,7 +146,7 @@
         if (order.probe) {
             const auto found = this->held.find(*order.probe);
             if (found != this->held.end()) {
-                const auto kept = found->second.connection;
+                auto kept = found->second.connection;
                 this->held.erase(found);
                 if (kept->reusable()) {
                     return kept;
@@ -160,7 +160,7 @@
     {
         auto& all = this->idle[backend];
         while (!all.empty()) {
-            const auto last = all.back();
+            auto last = all.back();
             all.pop_back();
             last->closed_idle = nullptr;
             if (last->reusable()) {
--- a/src/azureshore/http1/message_reader.cpp
+++ b/src/azureshore/http1/message_reader.cpp
@@ -71,7 +71,7 @@
     std::string body;
 
 private:
-    static parser& self(http_parser* engine) { return *static_cast<parser*>(engine->data); }
+    static parser& self(http_parser* from) { return *static_cast<parser*>(from->data); }
 
     // Empty lines before a message are allowed (RFC 9112, section 2.2).
     static bool skip_empty_line(std::string_view part)
@@ -89,26 +89,26 @@
     {
         http_parser_settings made;
         http_parser_settings_init(&made);
-        made.on_url = [](http_parser* engine, const char* at, std::size_t length) {
-            return self(engine).add_header(self(engine).target, at, length);
+        made.on_url = [](http_parser* from, const char* at, std::size_t length) {
+            return self(from).add_header(self(from).target, at, length);
         };
-        made.on_status = [](http_parser* engine, const char*, std::size_t length) {
-            return self(engine).count(length);
+        made.on_status = [](http_parser* from, const char*, std::size_t length) {
+            return self(from).count(length);
         };
-        made.on_header_field = [](http_parser* engine, const char* at, std::size_t length) {
-            return self(engine).add_name(at, length);
+        made.on_header_field = [](http_parser* from, const char* at, std::size_t length) {
+            return self(from).add_name(at, length);
         };
-        made.on_header_value = [](http_parser* engine, const char* at, std::size_t length) {
-            return self(engine).add_value(at, length);
+        made.on_header_value = [](http_parser* from, const char* at, std::size_t length) {
+            return self(from).add_value(at, length);
         };
-        made.on_headers_complete = [](http_parser* engine) {
-            return self(engine).header_ended();
+        made.on_headers_complete = [](http_parser* from) {
+            return self(from).header_ended();
         };
-        made.on_body = [](http_parser* engine, const char* at, std::size_t length) {
-            return self(engine).add_body(at, length);
+        made.on_body = [](http_parser* from, const char* at, std::size_t length) {
+            return self(from).add_body(at, length);
         };
-        made.on_message_complete = [](http_parser* engine) {
-            return self(engine).message_ended();
+        made.on_message_complete = [](http_parser* from) {
+            return self(from).message_ended();
         };
         return made;
     }
@@ -230,10 +230,7 @@
         if (this->now != read_state::need_more) {
             return;
         }
-        if (this->engine.upgrade != 0) {
-            this->now = read_state::malformed;
-        }
-        else if (error == HPE_HEADER_OVERFLOW) {
+        if (error == HPE_HEADER_OVERFLOW) {
             this->now = read_state::header_too_large;
         }
         else if (error != HPE_OK) {
--- a/src/azureshore/observe/event_log.cpp
+++ b/src/azureshore/observe/event_log.cpp
@@ -26,18 +26,19 @@
 {
 }
 
-void event_log::write(time_point now, const decision& event)
+void event_log::write(time_point now, event_kind kind, const decision& event)
 {
     if (now - this->second_began >= std::chrono::seconds(1)) {
         this->begin_second(now);
     }
-    if (this->lines >= this->settings.lines_per_second ||
+    auto& count = this->lines.at(static_cast<std::size_t>(kind));
+    if (count >= this->settings.lines_per_second ||
         this->waiting.size() >= this->settings.most_waiting) {
         ++this->dropped_now;
         ++this->total_dropped;
         return;
     }
-    ++this->lines;
+    ++count;
     this->add_line(event);
     if (this->waiting.size() >= this->settings.write_at) {
         this->flush();
@@ -47,7 +48,7 @@
 void event_log::begin_second(time_point now)
 {
     this->second_began = now;
-    this->lines = 0;
+    this->lines = {};
     if (this->dropped_now > 0) {
         this->add_line({"log_lines_dropped", {{"count", std::to_string(this->dropped_now)}}});
         this->dropped_now = 0;
--- a/src/azureshore/observe/event_log.hpp
+++ b/src/azureshore/observe/event_log.hpp
@@ -3,6 +3,7 @@
 #include "azureshore/core/time.hpp"
 #include "azureshore/observe/decision.hpp"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -10,8 +11,12 @@
 
 namespace azureshore::observe {
 
+// What a line is about. Each kind has bounds of its own, so that a flood of requests does not
+// push out the lines that explain them.
+enum class event_kind : std::uint8_t { request, state };
+
 struct event_log_settings {
-    // Lines a second; more are counted and dropped.
+    // Lines a second of each kind; more are counted and dropped.
     std::size_t lines_per_second = 200;
     // Bytes that wait for a reader of the output; more are counted and dropped.
     std::size_t most_waiting = 256UL * 1024UL;
@@ -32,7 +37,7 @@
     // `wall_clock` gives the time of day in milliseconds since 1970.
     event_log(event_log_settings bounds, event_sink to, std::function<std::int64_t()> wall_clock);
 
-    void write(time_point now, const decision& event);
+    void write(time_point now, event_kind kind, const decision& event);
 
     // Writes what waits, as far as the sink takes it.
     void flush();
@@ -48,7 +53,7 @@
     std::function<std::int64_t()> clock;
     std::string waiting;
     time_point second_began{};
-    std::size_t lines = 0;
+    std::array<std::size_t, 2> lines{};
     std::uint64_t dropped_now = 0;
     std::uint64_t total_dropped = 0;
 };
--- a/src/azureshore/sharing/members.cpp
+++ b/src/azureshore/sharing/members.cpp
@@ -132,6 +132,7 @@
         }
     }
     std::vector<wire::member_entry> listed;
+    listed.reserve(first.size());
     for (const auto& [where, each] : first) {
         listed.push_back(each);
     }
--- a/tests/balance/dispatch_world.hpp
+++ b/tests/balance/dispatch_world.hpp
@@ -65,6 +65,10 @@
 public:
     dispatch_world(std::size_t daemons, std::uint64_t seed);
     ~dispatch_world();
+    dispatch_world(const dispatch_world&) = delete;
+    dispatch_world& operator=(const dispatch_world&) = delete;
+    dispatch_world(dispatch_world&&) = delete;
+    dispatch_world& operator=(dispatch_world&&) = delete;
 
     balance::dispatcher& dispatcher(std::size_t daemon) { return *this->daemons[daemon]; }
     void configure(const balance::traffic_configuration& next);
--- a/tests/sharing/sharing_cluster.cpp
+++ b/tests/sharing/sharing_cluster.cpp
@@ -64,7 +64,7 @@
 platform::keyed_topic fake_store::topic(const vm_id& caller, const std::string& name)
 {
     platform::keyed_topic made;
-    made.list = [this, caller, name](std::function<void(platform::keyed_list)> done) {
+    made.list = [this, caller, name](const std::function<void(platform::keyed_list)>& done) {
         ++this->calls;
         const bool ok = this->answers(caller);
         this->clock.after(ok ? call_time : call_timeout, [this, name, ok, done] {
@@ -123,7 +123,7 @@
 }
 
 void fake_store::announce(const vm_id& caller, const std::string& what,
-                          std::function<void(bool)> done)
+                          const std::function<void(bool)>& done)
 {
     ++this->calls;
     const bool ok = this->answers(caller);
@@ -199,7 +199,8 @@
     }
 }
 
-sharing::sharing_hooks sharing_cluster::hooks_of(std::size_t index, std::weak_ptr<process> owner)
+sharing::sharing_hooks sharing_cluster::hooks_of(std::size_t index,
+                                                 const std::weak_ptr<process>& owner)
 {
     sharing::sharing_hooks made;
     made.clock = [this] {
@@ -211,8 +212,8 @@
     made.send = [this, index](const address& where, const wire::message& body) {
         this->deliver(index, where, body);
     };
-    made.announce = [this, index](const std::string& what, std::function<void(bool)> done) {
-        this->store.announce(this->name_of(index), what, std::move(done));
+    made.announce = [this, index](const std::string& what, const std::function<void(bool)>& done) {
+        this->store.announce(this->name_of(index), what, done);
     };
     made.listed = [owner](wire::shared_topic topic,
                           const std::vector<platform::keyed_record>& records) {
--- a/tests/sharing/sharing_cluster.hpp
+++ b/tests/sharing/sharing_cluster.hpp
@@ -25,7 +25,8 @@
 
     // The topic as one daemon calls it.
     platform::keyed_topic topic(const vm_id& caller, const std::string& name);
-    void announce(const vm_id& caller, const std::string& what, std::function<void(bool)> done);
+    void announce(const vm_id& caller, const std::string& what,
+                  const std::function<void(bool)>& done);
 
     // Forgets old records, as compaction does.
     void compact(const std::string& topic);
@@ -95,7 +96,7 @@
     };
 
     void deliver(std::size_t from, const address& where, const wire::message& body);
-    sharing::sharing_hooks hooks_of(std::size_t index, std::weak_ptr<process> owner);
+    sharing::sharing_hooks hooks_of(std::size_t index, const std::weak_ptr<process>& owner);
 
     std::vector<std::shared_ptr<process>> all;
 };
--- a/tests/sharing/store_sharing_tests.cpp
+++ b/tests/sharing/store_sharing_tests.cpp
@@ -131,7 +131,7 @@
     cluster->clock.run_for(2s);
     const auto before = cluster->store.calls;
     cluster->clock.run_for(5s);
-    BOOST_TEST(cluster->store.calls - before <= 2U * 5U * few);
+    BOOST_TEST(cluster->store.calls - before <= std::size_t{2} * 5 * few);
 }
 
 BOOST_AUTO_TEST_CASE(daemons_list_again_when_records_have_expired)
@@ -169,7 +169,7 @@
     const auto before = cluster->messages;
     cluster->clock.run_for(10s);
     // News once a second to each daemon, and its answer, and a fifth more.
-    BOOST_TEST(cluster->messages - before <= 2U * 12U * many * 12U / 10U);
+    BOOST_TEST(cluster->messages - before <= std::size_t{2} * 12 * many * 12 / 10);
 }
 
 BOOST_AUTO_TEST_CASE(all_daemons_know_each_other_soon_after_a_common_start)
