--- a/src/azureshore/balance/internal/attempts.cpp
+++ b/src/azureshore/balance/internal/attempts.cpp
@@ -199,7 +199,9 @@
     this->log("send", of,
               {{"attempt", std::to_string(attempt.value)},
                {"backend", to.backend.value},
-               {"cost", text_of(to.cost)}});
+               {"cost", text_of(to.cost)},
+               {"asked", std::to_string(to.asked)},
+               {"own_in_flight", std::to_string(known->in_flight - 1)}});
     if (of.on->idempotent && of.attempts < of.on->max_attempts) {
         const auto late =
             std::max<duration>(this->work(of).expected(to.cost * first_lateness), least_lateness);
--- a/src/azureshore/balance/internal/dispatcher_state.hpp
+++ b/src/azureshore/balance/internal/dispatcher_state.hpp
@@ -22,7 +22,9 @@
     backend_id backend;
     probe_number probe;
     double cost = 1;
-    // Whether one request more would have to wait behind as many as it has slots.
+    // Backend servers that were asked until this one was found.
+    std::size_t asked = 1;
+    // Whether one request more would have to wait there.
     bool full = false;
 };
 
--- a/src/azureshore/balance/internal/search.cpp
+++ b/src/azureshore/balance/internal/search.cpp
@@ -139,7 +139,7 @@
     }
     const load_reading load =
         reading.load.value_or(load_reading{known->in_flight, 0, known->registered.slots, 1});
-    found_backend here{asked.backend, probe, detail::cost_of(load),
+    found_backend here{asked.backend, probe, detail::cost_of(load), search.asked.size(),
                        load.running + load.waiting >= load.slots};
     if (this->now() < known->cold_until) {
         here.cost *= 2;
