--- a/src/azureshore/balance/internal/attempts.cpp
+++ b/src/azureshore/balance/internal/attempts.cpp
@@ -389,9 +389,14 @@
     }
     ++this->counted.refused;
     const auto request = of.in.number;
-    this->log(
-        "refuse", of,
-        {{"cause", std::string(to_string(why.cause))}, {"status", std::to_string(why.status)}});
+    this->log("refuse", of,
+              {{"cause", std::string(to_string(why.cause))},
+               {"status", std::to_string(why.status)},
+               {"attempts", std::to_string(of.attempts)},
+               {"may_have_run", of.may_have_run ? "true" : "false"},
+               {"waiting", std::to_string(this->service(of.service).queue.size())},
+               {"usual_ms", text_of(to_milliseconds(this->work(of).expected(1)))},
+               {"left_ms", text_of(to_milliseconds(of.deadline - this->now()))}});
     this->end(of);
     this->hooks.refuse(request, why);
 }
--- a/tests/documentation/documentation_tests.cpp
+++ b/tests/documentation/documentation_tests.cpp
@@ -1,6 +1,7 @@
 #include "azureshore/configuration/limit_keys.hpp"
 #include "azureshore/configuration/tree_text.hpp"
 #include "azureshore/settings/daemon_settings.hpp"
+#include "azureshore/settings/gateway_settings.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -45,6 +46,13 @@
     BOOST_TEST(read(root / "docs/11-settings.md").find(reference) != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(the_gateways_settings_page_holds_the_reference_as_the_daemon_prints_it)
+{
+    settings::gateway_settings unused;
+    const auto reference = settings::to_reference(settings::gateway_rules(unused));
+    BOOST_TEST(read(root / "docs/81-gateway-settings.md").find(reference) != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(the_examples_of_both_houses_are_valid)
 {
     for (const auto* name : {"01-dar-el-nahhas-entry-vm.toml", "02-kjaergaard-entry-vm.toml"}) {
