Look at the budget and at the backend server again when a request is sent

Cause: between the probe and the send, up to 150 ms later, a backend server may leave or its data centre may be taken out of service; and requests that failed together all saw the same budget of second sends and then all used it. A second send that found its server gone could also end the first attempt, by a refusal. Change: send() checks both; a request out of budget ends with what is true of it.

--- a/src/azureshore/balance/internal/attempts.cpp
+++ b/src/azureshore/balance/internal/attempts.cpp
@@ -23,9 +23,20 @@
 {
     const auto now = this->now();
     auto* known = this->book.find(to.backend);
-    if (known == nullptr || !this->book.take_cold(now, *known, this->traits(of))) {
+    // Since it was probed, the backend server may have left, and others may have used the budget.
+    const bool in_budget = of.attempts == 0 || this->may_try_again(of);
+    if (!in_budget || known == nullptr || !this->book.may_send(now, *known, this->traits(of)) ||
+        !this->book.take_cold(now, *known, this->traits(of))) {
         this->hooks.release(to.probe);
-        this->wait_for_room(of);
+        if (!of.running.empty()) {
+            return;
+        }
+        if (in_budget) {
+            this->wait_for_room(of);
+        }
+        else {
+            this->refuse(of, this->without_answer(of));
+        }
         return;
     }
     const attempt_number attempt{++this->last_attempt};
@@ -127,10 +138,7 @@
     }
     if (result.end == attempt_end::not_run) {
         this->book.failed(now, ended.backend, full_weight);
-        this->try_again_or(
-            *of,
-            {of->may_have_run ? refusal_cause::outcome_unknown : refusal_cause::attempts_exhausted,
-             of->may_have_run ? status_bad_gateway : status_unavailable, this->room_expected(*of)});
+        this->try_again(*of);
         return;
     }
     of->may_have_run = true;
@@ -141,12 +149,11 @@
             this->hooks.suspected(of->in.fingerprint);
         }
     }
-    const refusal otherwise{refusal_cause::outcome_unknown, status_bad_gateway, std::nullopt};
     if (!of->on->idempotent || this->suspected.condemned(now, of->in.fingerprint)) {
-        this->refuse(*of, otherwise);
+        this->refuse(*of, this->without_answer(*of));
         return;
     }
-    this->try_again_or(*of, otherwise);
+    this->try_again(*of);
 }
 
 void dispatcher::state::answered(live_request& of, attempt_number attempt,
@@ -177,7 +184,7 @@
 
 // Sends the request again if that is allowed and may still help; ends it otherwise, unless another
 // attempt runs.
-void dispatcher::state::try_again_or(live_request& of, const refusal& otherwise)
+void dispatcher::state::try_again(live_request& of)
 {
     if (!of.running.empty() || of.search || of.queued) {
         return;
@@ -186,7 +193,7 @@
         this->start_search(of, false);
         return;
     }
-    this->refuse(of, otherwise);
+    this->refuse(of, this->without_answer(of));
 }
 
 } // namespace azureshore::balance
--- a/src/azureshore/balance/internal/dispatcher_state.hpp
+++ b/src/azureshore/balance/internal/dispatcher_state.hpp
@@ -150,12 +150,13 @@
     void consider_second_send(request_number request, attempt_number attempt, bool last);
     void answered(live_request& of, attempt_number attempt, const running_attempt& ended,
                   const attempt_result& result);
-    void try_again_or(live_request& of, const refusal& otherwise);
+    void try_again(live_request& of);
     bool may_try_again(live_request& of);
 
     // Ends.
     void deadline_passed(request_number request);
     void deliver(live_request& of, attempt_number attempt);
+    refusal without_answer(const live_request& of);
     void refuse(live_request& of, refusal why);
     void refuse_new(const arrived_request& request, refusal why);
     void end(live_request& of);
--- a/src/azureshore/balance/internal/endings.cpp
+++ b/src/azureshore/balance/internal/endings.cpp
@@ -37,6 +37,15 @@
     this->hooks.deliver(request, attempt);
 }
 
+// The refusal of a request that was sent in vain and is not sent again.
+refusal dispatcher::state::without_answer(const live_request& of)
+{
+    if (of.may_have_run) {
+        return {refusal_cause::outcome_unknown, status_bad_gateway, std::nullopt};
+    }
+    return {refusal_cause::attempts_exhausted, status_unavailable, this->room_expected(of)};
+}
+
 void dispatcher::state::refuse(live_request& of, refusal why)
 {
     if (of.fallback) {
--- a/tests/balance/dispatch_world.cpp
+++ b/tests/balance/dispatch_world.cpp
@@ -165,11 +165,13 @@
         }
     };
     hooks.deliver = [this](request_number request, attempt_number) {
+        ++this->outcomes[request.value].answers;
         this->outcomes[request.value].delivered = true;
         this->outcomes[request.value].took = this->clock.now() - this->began[request.value];
     };
     hooks.refuse = [this](request_number request, const refusal& why) {
         auto& ended = this->outcomes[request.value];
+        ++ended.answers;
         ended.refused = why;
         ended.status = why.status;
         ended.took = this->clock.now() - this->began[request.value];
--- a/tests/balance/dispatch_world.hpp
+++ b/tests/balance/dispatch_world.hpp
@@ -49,6 +49,8 @@
     int status = 0;
     bool delivered = false;
     std::optional<balance::refusal> refused;
+    // Final answers, of which there is to be one.
+    std::size_t answers = 0;
 };
 
 // A request as a server saw it come.
