--- a/src/azureshore/balance/internal/dispatcher_state.hpp
+++ b/src/azureshore/balance/internal/dispatcher_state.hpp
@@ -26,6 +26,8 @@
     std::size_t asked = 1;
     // Whether one request more would have to wait there.
     bool full = false;
+    // When its probe was answered.
+    time_point read_at;
 };
 
 // The search of one request for a backend server.
--- a/src/azureshore/balance/internal/search.cpp
+++ b/src/azureshore/balance/internal/search.cpp
@@ -16,6 +16,9 @@
 constexpr duration silence = std::chrono::milliseconds(12);
 // The most a search waits for its last answers.
 constexpr duration search_limit = std::chrono::milliseconds(150);
+// An older reading does not decide: backend servers fill, slow down and turn cold in less. Most
+// searches end sooner, unless a backend server that is asked stays silent.
+constexpr duration reading_life = std::chrono::milliseconds(25);
 // Time between two looks for room by the requests that wait.
 constexpr duration queue_interval = std::chrono::milliseconds(12);
 // A request is hopeless when less than this share of its usual time at the server is left.
@@ -139,8 +142,12 @@
     }
     const load_reading load =
         reading.load.value_or(load_reading{known->in_flight, 0, known->registered.slots, 1});
-    found_backend here{asked.backend, probe, detail::cost_of(load), search.asked.size(),
-                       load.running + load.waiting >= load.slots};
+    found_backend here{asked.backend,
+                       probe,
+                       detail::cost_of(load),
+                       search.asked.size(),
+                       load.running + load.waiting >= load.slots,
+                       this->now()};
     if (this->now() < known->cold_until) {
         here.cost *= 2;
     }
@@ -177,6 +184,10 @@
     const auto search = std::exchange(of.search, std::nullopt);
     const auto now = this->now();
     auto best = search->best;
+    if (best && now - best->read_at > reading_life) {
+        this->hooks.release(best->probe);
+        best.reset();
+    }
     if (best && !search->second) {
         const bool wait = best->full || this->worth_waiting(of, best->cost);
         if (!wait &&
--- a/src/azureshore/net/field_text.cpp
+++ b/src/azureshore/net/field_text.cpp
@@ -1,7 +1,10 @@
 #include "azureshore/net/field_text.hpp"
 
+#include <curl/curl.h>
+
 #include <algorithm>
 #include <charconv>
+#include <memory>
 
 namespace azureshore::net {
 
@@ -14,6 +17,8 @@
     return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
 }
 
+using curl_text = std::unique_ptr<char, decltype(&curl_free)>;
+
 } // namespace
 
 bool same_name(std::string_view left, std::string_view right)
@@ -67,4 +72,20 @@
     return {};
 }
 
+std::string percent_encoded(const std::string& text)
+{
+    const curl_text encoded(curl_easy_escape(nullptr, text.data(), static_cast<int>(text.size())),
+                            curl_free);
+    return encoded ? encoded.get() : "";
+}
+
+std::string percent_decoded(const std::string& text)
+{
+    int length = 0;
+    const curl_text decoded(
+        curl_easy_unescape(nullptr, text.data(), static_cast<int>(text.size()), &length),
+        curl_free);
+    return decoded ? std::string(decoded.get(), static_cast<std::size_t>(length)) : "";
+}
+
 } // namespace azureshore::net
--- a/src/azureshore/net/field_text.hpp
+++ b/src/azureshore/net/field_text.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -24,4 +25,10 @@
 // The value of the first field of that name; empty when absent.
 std::string_view find_field(const std::vector<field>& fields, std::string_view name);
 
+// The text as it may stand in a query.
+std::string percent_encoded(const std::string& text);
+
+// The text that stands so in a query.
+std::string percent_decoded(const std::string& text);
+
 } // namespace azureshore::net
--- a/src/azureshore/sharing/internal/messages.cpp
+++ b/src/azureshore/sharing/internal/messages.cpp
@@ -67,7 +67,7 @@
 void store_sharing::state::heard_snapshot(const wire::topic_snapshot& snapshot)
 {
     auto& of = this->topic(snapshot.topic);
-    if (of.listed || snapshot.parts == 0) {
+    if (snapshot.parts == 0 || (of.listed && snapshot.next <= of.next)) {
         return;
     }
     if (of.parts_next != snapshot.next) {
@@ -197,6 +197,7 @@
     }
     if (news.from > of.next) {
         // Something was missed.
+        of.behind = true;
         this->read(of, std::chrono::milliseconds(0));
         return;
     }
@@ -212,6 +213,7 @@
     of.failed = false;
     auto& operators = this->topic(wire::shared_topic::operators);
     if (news.operators_next > operators.next) {
+        operators.behind = true;
         this->read(operators, std::chrono::milliseconds(0));
     }
     else {
--- a/src/azureshore/sharing/internal/reading.cpp
+++ b/src/azureshore/sharing/internal/reading.cpp
@@ -85,8 +85,18 @@
     this->read_succeeded(from, began);
     const bool news =
         from.kind == wire::shared_topic::registrations || !from.rounds.back().records.empty();
-    if (news && this->reads_for_all()) {
-        this->tell_news(from);
+    if (this->reads_for_all()) {
+        // A daemon that takes over finds out with its second read that it reads for all.
+        auto& operators = this->topic(wire::shared_topic::operators);
+        if (&from != &operators && std::exchange(operators.untold, false)) {
+            this->tell_news(operators);
+        }
+        if (news) {
+            this->tell_news(from);
+        }
+    }
+    else {
+        from.untold = from.untold || news;
     }
     if (std::exchange(from.again, false)) {
         this->read(from, std::chrono::milliseconds(0));
@@ -120,6 +130,7 @@
 void store_sharing::state::read_succeeded(followed_topic& from, time_point began)
 {
     from.failed = false;
+    from.behind = false;
     from.fresh_at = std::max(from.fresh_at, began);
     if (!this->topics[0].failed && !this->topics[1].failed) {
         this->set_away(false);
@@ -131,6 +142,11 @@
     from.failed = true;
     from.again = false;
     from.rounds.clear();
+    // The store turns this daemon away, or its link is cut: who knows more may tell all.
+    const auto teller = this->reader ? this->known.find(*this->reader) : std::nullopt;
+    if (std::exchange(from.behind, false) && teller) {
+        this->say_hello(*teller, true);
+    }
     if (this->now() - from.fresh_at > this->due_after()) {
         this->set_away(true);
     }
--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -42,6 +42,10 @@
         time_point fresh_at{};
         // The last read failed.
         bool failed = false;
+        // Another daemon knows more than this one.
+        bool behind = false;
+        // Records were read that no other daemon was told of.
+        bool untold = false;
         std::deque<round> rounds{};
         // The newest record of each key, for daemons that start.
         std::map<std::string, wire::shared_record> newest{};
--- a/tests/processes/child_process.cpp
+++ b/tests/processes/child_process.cpp
@@ -27,9 +27,15 @@
     return pointers;
 }
 
+int exit_status(int status)
+{
+    return WIFEXITED(status) ? WEXITSTATUS(status) : signal_status_base + WTERMSIG(status);
+}
+
 } // namespace
 
-child_process::child_process(const std::string& program, const std::vector<std::string>& arguments)
+child_process::child_process(const std::string& program, const std::vector<std::string>& arguments,
+                             const std::string& log_file)
 {
     std::array<int, 2> ends{};
     if (pipe2(ends.data(), O_CLOEXEC) != 0) {
@@ -40,7 +46,14 @@
     auto pointers = argument_pointers(words);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    if (log_file.empty()) {
+        posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    }
+    else {
+        constexpr mode_t readable = 0644;
+        posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_file.c_str(),
+                                         O_WRONLY | O_CREAT | O_APPEND, readable);
+    }
     const int error =
         posix_spawn(&this->pid, words[0].c_str(), &actions, nullptr, pointers.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
@@ -111,7 +124,17 @@
     int status = 0;
     waitpid(this->pid, &status, 0);
     this->pid = -1;
-    return WIFEXITED(status) ? WEXITSTATUS(status) : signal_status_base + WTERMSIG(status);
+    return exit_status(status);
+}
+
+std::optional<int> child_process::ended()
+{
+    int status = 0;
+    if (this->pid <= 0 || waitpid(this->pid, &status, WNOHANG) != this->pid) {
+        return std::nullopt;
+    }
+    this->pid = -1;
+    return exit_status(status);
 }
 
 finished_run run_to_end(const std::string& program, const std::vector<std::string>& arguments)
--- a/tests/processes/child_process.hpp
+++ b/tests/processes/child_process.hpp
@@ -11,8 +11,10 @@
 // A process that a test starts, and that ends with the test at the latest.
 class child_process {
 public:
-    // Starts a program of this build, named relative to the build folder.
-    child_process(const std::string& program, const std::vector<std::string>& arguments);
+    // Starts a program of this build, named relative to the build folder. Its standard output is
+    // read by this object, or appended to `log_file` when one is named.
+    child_process(const std::string& program, const std::vector<std::string>& arguments,
+                  const std::string& log_file = {});
     ~child_process();
     child_process(const child_process&) = delete;
     child_process& operator=(const child_process&) = delete;
@@ -31,6 +33,9 @@
     // Waits for the end; the exit status, or 128 + the signal's number.
     int wait();
 
+    // The same once the process has ended; nothing before.
+    std::optional<int> ended();
+
 private:
     pid_t pid = -1;
     int output = -1;
--- a/tests/sharing/store_sharing_tests.cpp
+++ b/tests/sharing/store_sharing_tests.cpp
@@ -101,6 +101,43 @@
     BOOST_TEST(all_know(*cluster, few, shared_topic::operators, "config", "2"));
 }
 
+BOOST_AUTO_TEST_CASE(a_daemon_that_the_store_turns_away_learns_of_a_change_from_the_others)
+{
+    // The change comes before, while and after another daemon begins to read for all.
+    for (auto wait = 0ms; wait < 2500ms; wait += 100ms) {
+        for (const std::size_t daemons : {std::size_t{2}, few}) {
+            auto cluster = settled_cluster(daemons, 9);
+            const auto reader = reader_of(*cluster, daemons);
+            cluster->store.unanswered.insert(cluster->name_of(reader).value);
+            cluster->clock.run_for(wait);
+            cluster->store.put(sharing_cluster::operators, "config", "2");
+            cluster->store.put(sharing_cluster::operators, "evacuate/a", "x");
+            cluster->clock.run_for(bound);
+            BOOST_TEST_CONTEXT(daemons << " daemons, after " << wait.count() << " ms")
+            {
+                BOOST_TEST(all_know(*cluster, daemons, shared_topic::operators, "config", "2"));
+                BOOST_TEST(all_know(*cluster, daemons, shared_topic::operators, "evacuate/a", "x"));
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_daemon_that_the_store_turns_away_asks_for_what_it_missed)
+{
+    auto cluster = settled_cluster(2, 9);
+    const auto reader = reader_of(*cluster, 2);
+    cluster->store.unanswered.insert(cluster->name_of(reader).value);
+    cluster->clock.run_for(3s);
+    cluster->cut_off.insert(reader);
+    for (int i = 0; i < 5; ++i) {
+        cluster->store.put(sharing_cluster::operators, "config", std::to_string(i));
+        cluster->clock.run_for(1s);
+    }
+    cluster->cut_off.clear();
+    cluster->clock.run_for(2 * bound);
+    BOOST_TEST(all_know(*cluster, 2, shared_topic::operators, "config", "4"));
+}
+
 BOOST_AUTO_TEST_CASE(a_daemon_cut_off_from_the_others_reads_for_itself)
 {
     auto cluster = settled_cluster(few, 6);
--- /dev/null
+++ b/tests/soak/gateway_process_tests.cpp
@@ -0,0 +1,221 @@
+// Gateways as processes against the store's stand-in, each case one planned or unplanned event.
+
+#include "processes/http_calls.hpp"
+#include "soak/caller.hpp"
+#include "soak/house.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <sstream>
+
+using namespace azureshore;
+using namespace azureshore::soak;
+using azureshore::testing::eventually;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr auto deadline = milliseconds(2000);
+constexpr int status_ok = 200;
+
+struct small_house {
+    judge watch;
+    house place{{2, 2, 4, ""}, watch};
+    std::size_t asked = 0;
+
+    small_house() { BOOST_REQUIRE(this->place.wait_until_all_ready()); }
+
+    int ask(const gateway_vm& vm, const std::string& path = "/plates/", bool idempotent = true)
+    {
+        caller self;
+        const auto id = "r-" + std::to_string(++this->asked);
+        this->watch.sent(id, idempotent, path + id);
+        const auto answer =
+            self.ask(vm.callers, make_request(id, path + id, idempotent, deadline), 2 * deadline);
+        if (!answer) {
+            return 0;
+        }
+        this->watch.answered(id, answer->status,
+                             !net::find_field(answer->fields, "X-Server-Signature").empty(),
+                             answer->body);
+        return answer->status;
+    }
+
+    void check() const
+    {
+        for (const auto& each : this->watch.faults()) {
+            BOOST_ERROR(each);
+        }
+    }
+
+    [[nodiscard]] std::string log_of(const gateway_vm& vm) const
+    {
+        std::ostringstream text;
+        text << std::ifstream(this->place.folder + '/' + vm.name + ".log").rdbuf();
+        return text.str();
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(gateways_as_processes)
+
+BOOST_AUTO_TEST_CASE(every_gateway_serves_both_kinds_of_requests)
+{
+    small_house of;
+    for (const auto& vm : of.place.gateways) {
+        for (int i = 0; i < 20; ++i) {
+            BOOST_TEST(of.ask(vm, "/plates/", true) == status_ok);
+            BOOST_TEST(of.ask(vm, "/orders/", false) == status_ok);
+        }
+        BOOST_TEST(of.ask(vm, "/nowhere/") == 404);
+    }
+    of.check();
+}
+
+BOOST_AUTO_TEST_CASE(a_planned_stop_answers_what_is_under_way_and_ends_in_time)
+{
+    small_house of;
+    auto& vm = of.place.gateways.front();
+    int status = 0;
+    std::thread asking([&] { status = of.ask(vm, "/orders/", false); });
+    vm.process->signal(SIGTERM);
+    asking.join();
+    BOOST_TEST(status == status_ok);
+    BOOST_TEST(eventually([&] { return !of.place.ready(vm); }));
+    BOOST_TEST(vm.process->wait() == 0);
+    BOOST_TEST(of.log_of(vm).find("event=stop ") != std::string::npos);
+    of.place.start(vm);
+    BOOST_TEST(of.place.wait_until_all_ready());
+    of.check();
+}
+
+BOOST_AUTO_TEST_CASE(after_all_gateways_lost_power_they_serve_again)
+{
+    small_house of;
+    for (auto& vm : of.place.gateways) {
+        vm.process.reset();
+    }
+    for (auto& vm : of.place.gateways) {
+        of.place.start(vm);
+    }
+    for (const auto& vm : of.place.gateways) {
+        BOOST_TEST(eventually([&] { return of.ask(vm) == status_ok; }));
+    }
+    of.check();
+}
+
+BOOST_AUTO_TEST_CASE(a_gateway_that_starts_while_the_store_is_down_learns_from_another)
+{
+    small_house of;
+    auto& vm = of.place.gateways.front();
+    standin::store_faults faults;
+    faults.outage = true;
+    of.place.store.set_faults(faults);
+    vm.process.reset();
+    of.place.start(vm);
+    BOOST_TEST(eventually([&] { return of.ask(vm) == status_ok; }));
+    of.check();
+}
+
+BOOST_AUTO_TEST_CASE(with_no_store_and_no_peer_requests_are_refused_until_the_store_is_back)
+{
+    small_house of;
+    standin::store_faults faults;
+    faults.silent = true;
+    of.place.store.set_faults(faults);
+    for (auto& vm : of.place.gateways) {
+        vm.process.reset();
+    }
+    auto& vm = of.place.gateways.front();
+    of.place.start(vm);
+    BOOST_TEST(eventually([&] { return of.ask(vm, "/orders/", false) == 503; }));
+    BOOST_TEST(!of.place.ready(vm));
+    of.place.store.set_faults({});
+    BOOST_TEST(eventually([&] { return of.ask(vm, "/orders/", false) == status_ok; }));
+    of.check();
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_written_during_an_outage_is_in_force_after_it)
+{
+    small_house of;
+    standin::store_faults faults;
+    faults.outage = true;
+    of.place.store.set_faults(faults);
+    of.place.configure(true);
+    BOOST_TEST(of.ask(of.place.gateways[0]) == status_ok);
+    of.place.store.set_faults({});
+    for (const auto& vm : of.place.gateways) {
+        BOOST_TEST(eventually([&] { return of.ask(vm, "/extra/") == status_ok; }));
+    }
+    of.check();
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_is_known_to_all_though_the_store_turns_some_away)
+{
+    small_house of;
+    of.place.gateways.front().to_store->set(test_support::link_state::resetting);
+    of.place.configure(true);
+    for (const auto& vm : of.place.gateways) {
+        BOOST_TEST(eventually([&] { return of.ask(vm, "/extra/") == status_ok; }));
+    }
+    of.check();
+}
+
+BOOST_AUTO_TEST_CASE(broken_and_foreign_records_name_no_server_and_cost_nobody_else)
+{
+    small_house of;
+    of.place.store.put("keyed.servers", "broken", "{\"address\":");
+    of.place.store.put("keyed.servers", "foreign", std::string("\xff\0\x01", 3));
+    of.place.store.put("keyed.op", "config", "no configuration");
+    of.place.store.put("keyed.op", "notes", "hello");
+    auto& vm = of.place.gateways.front();
+    BOOST_TEST(
+        eventually([&] { return of.log_of(vm).find("record_unreadable") != std::string::npos; }));
+    vm.process.reset();
+    of.place.configure(true);
+    of.place.start(vm);
+    for (const auto& each : of.place.gateways) {
+        BOOST_TEST(eventually([&] { return of.ask(each, "/extra/") == status_ok; }));
+    }
+    of.check();
+}
+
+BOOST_AUTO_TEST_CASE(settings_are_read_again_at_a_signal_and_when_the_file_changes)
+{
+    small_house of;
+    auto& signalled = of.place.gateways[0];
+    auto& silent = of.place.gateways[1];
+    of.place.write_settings(silent, 20);
+    BOOST_TEST(eventually(
+        [&] { return of.log_of(silent).find("why=file_changed") != std::string::npos; }));
+    signalled.process->signal(SIGHUP);
+    BOOST_TEST(
+        eventually([&] { return of.log_of(signalled).find("why=signal") != std::string::npos; }));
+    std::ofstream(silent.settings_file) << "no settings";
+    BOOST_TEST(
+        eventually([&] { return of.log_of(silent).find("reload_refused") != std::string::npos; }));
+    BOOST_TEST(of.ask(silent) == status_ok);
+    of.check();
+}
+
+BOOST_AUTO_TEST_CASE(a_backend_server_that_says_it_leaves_gets_nothing_more)
+{
+    small_house of;
+    auto& leaving = *of.place.backends.front();
+    leaving.drain();
+    of.place.heartbeat();
+    for (const auto& vm : of.place.gateways) {
+        BOOST_TEST(
+            eventually([&] { return of.log_of(vm).find("state=draining") != std::string::npos; }));
+    }
+    leaving.forbid_from(std::chrono::steady_clock::now());
+    for (int i = 0; i < 50; ++i) {
+        BOOST_TEST(of.ask(of.place.gateways.front()) == status_ok);
+    }
+    of.check();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/soak/house.cpp
@@ -0,0 +1,215 @@
+#include "soak/house.hpp"
+
+#include "processes/http_calls.hpp"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/ip/udp.hpp>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <iomanip>
+#include <sstream>
+
+namespace azureshore::soak {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint16_t any_port = 0;
+const std::string daemon_program = "src/azureshored/azureshored";
+
+// A port that the kernel chose and nothing uses now. Each gateway has an address of its own, so
+// that all can use the same ports.
+template <typename Protocol>
+std::uint16_t free_port(asio::io_context& executor, const std::string& host)
+{
+    typename Protocol::socket probe(executor, {asio::ip::make_address(host), any_port});
+    return probe.local_endpoint().port();
+}
+
+std::string new_folder(const std::string& wanted)
+{
+    if (!wanted.empty()) {
+        std::filesystem::create_directories(wanted);
+        return wanted;
+    }
+    std::string pattern = std::filesystem::temp_directory_path() / "azureshore-XXXXXX";
+    if (mkdtemp(pattern.data()) == nullptr) {
+        throw std::runtime_error("no folder for settings");
+    }
+    return pattern;
+}
+
+// Addresses of loopback that other runs at the same time do not use.
+std::string subnet_of_this_process()
+{
+    constexpr int values = 250;
+    const auto process = getpid();
+    return "127." + std::to_string(1 + process / values % values) + '.' +
+           std::to_string(1 + process % values) + '.';
+}
+
+json rule(const std::string& path, const std::string& kind, int priority)
+{
+    return {{"name", path},
+            {"kind", kind},
+            {"target_latency_ms", 500},
+            {"priority", priority},
+            {"match_criteria", {{"path_prefix", path}}},
+            {"route_action", {{"service", "plates"}, {"timeout_ms", 2000}, {"max_attempts", 2}}}};
+}
+
+} // namespace
+
+house::house(const house_plan& plan, judge& watched_by)
+    : work(asio::make_work_guard(this->executor)),
+      store({1000, 4000, 10'000},
+            [this](duration span, std::function<void()> action) {
+                this->timers.after(span, std::move(action));
+            }),
+      folder(new_folder(plan.folder)), watch(watched_by), slots(plan.slots),
+      subnet(subnet_of_this_process())
+{
+    const auto first = this->subnet + '1';
+    this->peers_port = free_port<asio::ip::udp>(this->executor, first);
+    this->callers_port = free_port<asio::ip::tcp>(this->executor, first);
+    this->ready_port = free_port<asio::ip::tcp>(this->executor, first);
+    this->metrics_port = free_port<asio::ip::tcp>(this->executor, first);
+    net::http_server_settings settings;
+    settings.where = {"127.0.0.1", any_port};
+    settings.threads = 2;
+    net::http_server_hooks hooks;
+    hooks.call = [this](const net::http_call& call, net::responder respond) {
+        this->store.handle(call, std::move(respond));
+    };
+    this->store_server = std::make_unique<net::http_server>(settings, std::move(hooks));
+    this->links = std::thread([this] { this->executor.run(); });
+    this->configure(false);
+    for (std::size_t i = 0; i < plan.backends; ++i) {
+        this->add_backend();
+    }
+    for (std::size_t i = 0; i < plan.gateways; ++i) {
+        auto& made = this->gateways.emplace_back();
+        made.name = "vm-" + std::to_string(i + 1);
+        made.data_centre = this->zones[i % this->zones.size()];
+        made.host = this->subnet + std::to_string(i + 1);
+        made.callers = {made.host, this->callers_port};
+        made.settings_file = this->folder + '/' + made.name + ".toml";
+        made.to_store = std::make_unique<test_support::loopback_proxy>(
+            this->executor, address{"127.0.0.1", this->store_server->port()});
+    }
+    for (auto& each : this->gateways) {
+        this->write_settings(each, 50);
+        this->start(each);
+    }
+}
+
+house::~house()
+{
+    for (auto& each : this->gateways) {
+        each.process.reset();
+    }
+    this->store_server->stop();
+    this->work.reset();
+    this->executor.stop();
+    this->links.join();
+}
+
+void house::write_settings(const gateway_vm& vm, double retry_slack) const
+{
+    std::ostringstream text;
+    const auto at = [&vm](std::uint16_t port) {
+        return '"' + vm.host + ':' + std::to_string(port) + "\"\n";
+    };
+    text << "[vm]\nname = \"" << vm.name << "\"\ndata_centre = \"" << vm.data_centre << "\"\n"
+         << "[listen]\ncallers = " << at(this->callers_port) << "ready = " << at(this->ready_port)
+         << "peers = " << at(this->peers_port) << "metrics = " << at(this->metrics_port)
+         << "[peers]\nseeds = [";
+    for (const auto& each : this->gateways) {
+        text << '"' << each.host << ':' << this->peers_port << "\", ";
+    }
+    text << "]\n[store]\naddress = \"" << to_string(vm.to_store->where()) << "\"\n"
+         << "[bounds]\napply_within = 2500\nstop_within = 6000\nretry_slack = " << retry_slack
+         << '\n';
+    // A file that is being written must not be read half.
+    const auto next = vm.settings_file + ".next";
+    {
+        std::ofstream out(next, std::ios::binary);
+        out << text.str();
+    }
+    std::filesystem::rename(next, vm.settings_file);
+}
+
+void house::start(gateway_vm& vm)
+{
+    vm.process.emplace(daemon_program,
+                       std::vector<std::string>{"--gateway", "--settings", vm.settings_file},
+                       this->folder + '/' + vm.name + ".log");
+}
+
+house_backend& house::add_backend()
+{
+    const auto number = ++this->last_backend;
+    this->backends.push_back(std::make_unique<house_backend>(
+        "i-" + std::to_string(number), this->zones[number % this->zones.size()], this->slots,
+        this->executor, this->timers, this->watch));
+    this->heartbeat();
+    return *this->backends.back();
+}
+
+void house::heartbeat()
+{
+    for (const auto& each : this->backends) {
+        if (const auto text = each->registration()) {
+            this->store.put("keyed.servers", each->id(), text);
+        }
+    }
+}
+
+void house::configure(bool with_extra_route)
+{
+    std::ostringstream digits;
+    digits << std::hex << std::setfill('0') << std::setw(8) << ++this->version;
+    auto rules = json::array({rule("/plates/", "safe", 1), rule("/orders/", "unsafe", 0)});
+    if (with_extra_route) {
+        rules.push_back(rule("/extra/", "safe", 1));
+    }
+    const json made{{"version", digits.str()},
+                    {"limits",
+                     {{"max_header_bytes", 16384},
+                      {"max_body_bytes", 1048576},
+                      {"header_timeout_ms", 3000},
+                      {"idle_timeout_ms", 15000}}},
+                    {"listeners", json::array({{{"host", "a.example"}, {"rule_set", rules}}})},
+                    {"clusters", json::array({{{"name", "plates"},
+                                               {"health_path", "/health"},
+                                               {"max_connections", 200},
+                                               {"cold_start_s", 3},
+                                               {"cold_per_s", cold_per_second}}})}};
+    this->store.put("keyed.op", "config", made.dump());
+}
+
+void house::set_out_of_service(const std::string& data_centre, bool out)
+{
+    this->store.put("keyed.op", "evacuate/" + data_centre,
+                    out ? std::optional<std::string>("{}") : std::nullopt);
+}
+
+bool house::ready(const gateway_vm& vm) const
+{
+    return testing::get({vm.host, this->ready_port}, "/readiness").status == 200;
+}
+
+bool house::wait_until_all_ready() const
+{
+    return testing::eventually([this] {
+        return std::all_of(this->gateways.begin(), this->gateways.end(),
+                           [this](const gateway_vm& each) { return this->ready(each); });
+    });
+}
+
+} // namespace azureshore::soak
--- /dev/null
+++ b/tests/soak/house.hpp
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "azureshore/core/address.hpp"
+#include "keyed_store.hpp"
+#include "processes/child_process.hpp"
+#include "run.hpp"
+#include "soak/house_backend.hpp"
+#include "soak/judge.hpp"
+#include "support/loopback_proxy.hpp"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+
+#include <atomic>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace azureshore::soak {
+
+// One gateway as a process, and its links.
+struct gateway_vm {
+    std::string name;
+    std::string data_centre;
+    std::string host;
+    address callers;
+    std::string settings_file;
+    std::unique_ptr<test_support::loopback_proxy> to_store;
+    std::optional<testing::child_process> process;
+};
+
+struct house_plan {
+    std::size_t gateways = 3;
+    std::size_t backends = 4;
+    unsigned slots = 4;
+    // Where the settings and the logs are written; a new folder when empty.
+    std::string folder;
+};
+
+// Gateways as processes on loopback addresses of their own, with the platform's store, backend
+// servers and the links between them in this process.
+class house {
+public:
+    house(const house_plan& plan, judge& watched_by);
+    ~house();
+    house(const house&) = delete;
+    house& operator=(const house&) = delete;
+    house(house&&) = delete;
+    house& operator=(house&&) = delete;
+
+    // Starts or restarts a gateway's process.
+    void start(gateway_vm& vm);
+
+    // Writes a gateway's settings; `retry_slack` is a bound that may change while it runs.
+    void write_settings(const gateway_vm& vm, double retry_slack) const;
+
+    // Adds a backend server under a new id.
+    house_backend& add_backend();
+
+    // Puts a configuration in force: the next version, with or without the route /extra/.
+    void configure(bool with_extra_route);
+
+    // Takes a data centre out of service, or back.
+    void set_out_of_service(const std::string& data_centre, bool out);
+
+    // Registers every living backend server again, as each does by itself all the time.
+    void heartbeat();
+
+    // Whether the gateway says that it is ready.
+    [[nodiscard]] bool ready(const gateway_vm& vm) const;
+
+    [[nodiscard]] bool wait_until_all_ready() const;
+
+    [[nodiscard]] const std::vector<std::string>& data_centres() const { return this->zones; }
+
+private:
+    // The members that others use come first, as they must end last.
+    asio::io_context executor;
+    asio::executor_work_guard<asio::io_context::executor_type> work;
+
+public:
+    std::deque<gateway_vm> gateways;
+    std::deque<std::unique_ptr<house_backend>> backends;
+    standin::delays timers;
+    standin::keyed_store store;
+    const std::string folder;
+
+private:
+    judge& watch;
+    unsigned slots;
+    std::vector<std::string> zones{"north", "south"};
+    std::unique_ptr<net::http_server> store_server;
+    std::thread links;
+    std::uint64_t version = 0;
+    std::size_t last_backend = 0;
+    std::uint16_t peers_port = 0;
+    std::uint16_t callers_port = 0;
+    std::uint16_t ready_port = 0;
+    std::uint16_t metrics_port = 0;
+    std::string subnet;
+};
+
+} // namespace azureshore::soak
--- /dev/null
+++ b/tests/soak/house_backend.cpp
@@ -0,0 +1,252 @@
+#include "soak/house_backend.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace azureshore::soak {
+
+namespace {
+
+constexpr std::size_t most_waiting = 4;
+constexpr auto work_time = std::chrono::milliseconds(30);
+constexpr std::string_view health_path = "/health";
+
+time_point clock_now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+std::int64_t wall_clock_ms()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+net::http_answer refused(int status)
+{
+    return {status, {{"X-Not-Executed", "1"}}, "", false};
+}
+
+net::http_answer dropped()
+{
+    net::http_answer none;
+    none.fault = net::answer_fault::dropped;
+    return none;
+}
+
+} // namespace
+
+house_backend::house_backend(std::string id, std::string in, unsigned slot_count,
+                             asio::io_context& links, standin::delays& timers_of, judge& watched_by)
+    : zone(std::move(in)), slots(slot_count), timers(timers_of), watch(watched_by),
+      instance(std::move(id)), born_ms(wall_clock_ms()),
+      server({{"127.0.0.1", 0}, 1},
+             {[this](const net::http_call& call, const net::responder& respond) {
+                  this->handle(call, respond);
+              },
+              nullptr, nullptr}),
+      proxy(links, {"127.0.0.1", server.port()})
+{
+}
+
+std::string house_backend::id() const
+{
+    const std::lock_guard hold(this->lock);
+    return this->instance;
+}
+
+bool house_backend::down() const
+{
+    return clock_now() < this->up_at;
+}
+
+std::optional<std::string> house_backend::registration()
+{
+    const std::lock_guard hold(this->lock);
+    if (this->down()) {
+        return std::nullopt;
+    }
+    const auto cold = std::max(duration::zero(), duration(this->cold_until - clock_now()));
+    return nlohmann::json{
+        {"address", to_string(this->proxy.where())},
+        {"born", this->born_ms},
+        {"info",
+         {{"service", "plates"}, {"version", "v1"}, {"zone", this->zone}, {"slots", this->slots}}},
+        {"status",
+         {{"state", this->draining ? "draining" : "ready"},
+          {"sequence", ++this->sequence},
+          {"cold_remaining_ms",
+           std::chrono::duration_cast<std::chrono::milliseconds>(cold).count()}}}}
+        .dump();
+}
+
+void house_backend::crash(const std::string& next_id, duration away, duration cold_for)
+{
+    std::deque<waiting_call> lost;
+    {
+        const std::lock_guard hold(this->lock);
+        lost.swap(this->waiting);
+        ++this->life;
+        this->running = 0;
+        this->instance = next_id;
+        this->sequence = 0;
+        this->draining = false;
+        this->forbidden_from.reset();
+        this->hanging = false;
+        this->up_at = clock_now() + away;
+        this->cold_until = this->up_at + cold_for;
+        this->born_ms = wall_clock_ms();
+        this->arrivals.clear();
+    }
+    for (const auto& each : lost) {
+        each.respond(dropped());
+    }
+}
+
+void house_backend::turn_cold(duration cold_for)
+{
+    const std::lock_guard hold(this->lock);
+    this->cold_until = clock_now() + cold_for;
+}
+
+void house_backend::drain()
+{
+    const std::lock_guard hold(this->lock);
+    this->draining = true;
+}
+
+void house_backend::forbid_from(time_point when)
+{
+    const std::lock_guard hold(this->lock);
+    this->forbidden_from = when;
+}
+
+void house_backend::set_link(test_support::link_state now, duration delay)
+{
+    {
+        const std::lock_guard hold(this->lock);
+        this->link_passes = now == test_support::link_state::passing;
+        this->link_changed_at = clock_now();
+    }
+    this->proxy.set(now, delay);
+}
+
+void house_backend::hang(bool on)
+{
+    const std::lock_guard hold(this->lock);
+    this->hanging = on;
+}
+
+std::string house_backend::load() const
+{
+    return std::to_string(this->running) + ',' + std::to_string(this->waiting.size()) + ',' +
+           std::to_string(this->slots) + ",100";
+}
+
+net::http_answer house_backend::health() const
+{
+    net::http_answer answer;
+    answer.status = this->draining ? 503 : 200;
+    answer.headers = {{"X-Instance-Id", this->instance}, {"X-Backend-Load", this->load()}};
+    if (this->cold_until > clock_now()) {
+        const auto left = this->cold_until - clock_now();
+        answer.headers.push_back(
+            {"X-Cold-Ms",
+             std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(left).count())});
+    }
+    return answer;
+}
+
+void house_backend::note_arrival()
+{
+    const auto now = clock_now();
+    if (this->forbidden_from && now > *this->forbidden_from) {
+        this->watch.blame(this->instance + " left and got a request " +
+                          std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                             now - *this->forbidden_from)
+                                             .count()) +
+                          " ms too late");
+    }
+    const bool held = !this->link_passes || now - this->link_changed_at < std::chrono::seconds(1);
+    if (now >= this->cold_until || held) {
+        this->arrivals.clear();
+        return;
+    }
+    this->arrivals.push_back(now);
+    while (now - this->arrivals.front() >= std::chrono::seconds(1)) {
+        this->arrivals.pop_front();
+    }
+    if (static_cast<double>(this->arrivals.size()) >
+        cold_per_second * cold_overshoot + cold_slack) {
+        this->watch.blame(this->instance + " is cold and got " +
+                          std::to_string(this->arrivals.size()) + " requests in a second");
+    }
+}
+
+void house_backend::handle(const net::http_call& call, const net::responder& respond)
+{
+    const std::unique_lock hold(this->lock);
+    if (this->down()) {
+        respond(dropped());
+    }
+    else if (call.target == health_path) {
+        respond(this->health());
+    }
+    else if (this->hanging) {
+        return;
+    }
+    else if (const auto expected = call.header("X-Expect-Instance");
+             !expected.empty() && expected != this->instance) {
+        respond(refused(421));
+    }
+    else {
+        this->note_arrival();
+        if (this->running < this->slots) {
+            this->begin({call, respond});
+        }
+        else if (this->waiting.size() < most_waiting) {
+            this->waiting.push_back({call, respond});
+        }
+        else {
+            respond(refused(503));
+        }
+    }
+}
+
+void house_backend::begin(const waiting_call& next)
+{
+    ++this->running;
+    this->watch.runs(std::string(next.call.header("X-Request-Id")), next.call.target);
+    const bool cold = this->cold_until > clock_now();
+    this->timers.after(cold ? 3 * work_time : work_time,
+                       [this, next, in = this->life] { this->finish(next, in); });
+}
+
+void house_backend::finish(const waiting_call& done, std::uint64_t in)
+{
+    net::http_answer answer;
+    {
+        const std::lock_guard hold(this->lock);
+        if (in != this->life) {
+            answer = dropped();
+        }
+        else {
+            --this->running;
+            const std::string request(done.call.header("X-Request-Id"));
+            answer.headers = {{"X-Request-Id", request},
+                              {"X-Server-Signature", "signed"},
+                              {"X-Backend-Load", this->load()}};
+            answer.body = request + " ran at " + this->instance;
+            if (!this->waiting.empty()) {
+                const auto next = this->waiting.front();
+                this->waiting.pop_front();
+                this->begin(next);
+            }
+        }
+    }
+    done.respond(std::move(answer));
+}
+
+} // namespace azureshore::soak
--- /dev/null
+++ b/tests/soak/trouble.cpp
@@ -0,0 +1,325 @@
+#include "soak/trouble.hpp"
+
+#include <algorithm>
+#include <csignal>
+
+namespace azureshore::soak {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using test_support::link_state;
+
+namespace {
+
+// How often backend servers write to the store.
+constexpr auto heartbeat_interval = milliseconds(300);
+constexpr auto step = milliseconds(20);
+// A backend server that says nothing is dropped from the store after this long.
+constexpr auto silence_limit = milliseconds(1500);
+constexpr int status_stopped = 0;
+// A planned stop must end within the time of the settings.
+constexpr auto stop_within = seconds(6);
+
+time_point clock_now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+trouble::trouble(std::uint64_t seed, house& in, judge& watched_by)
+    : random(seeded_random(seed)), place(in), watch(watched_by), began(clock_now())
+{
+}
+
+duration trouble::between(int least_ms, int most_ms)
+{
+    const auto span = static_cast<std::size_t>(most_ms - least_ms + 1);
+    return milliseconds(least_ms + static_cast<int>(uniform_index(this->random, span)));
+}
+
+std::string trouble::next_instance()
+{
+    return "j-" + std::to_string(++this->last_instance);
+}
+
+void trouble::note(const std::string& what)
+{
+    const auto at = std::chrono::duration_cast<milliseconds>(clock_now() - this->began);
+    this->told += "  " + std::to_string(at.count()) + " ms " + what + '\n';
+}
+
+void trouble::disturb(const std::string& name, duration span)
+{
+    const std::lock_guard hold(this->lock);
+    auto& until = this->disturbed_until[name];
+    until = std::max(until, clock_now() + span);
+}
+
+void trouble::disturb_all(duration span)
+{
+    for (const auto& each : this->place.gateways) {
+        this->disturb(each.name, span);
+    }
+}
+
+bool trouble::disturbed(const gateway_vm& vm, time_point from) const
+{
+    const std::lock_guard hold(this->lock);
+    const auto found = this->disturbed_until.find(vm.name);
+    return found != this->disturbed_until.end() && found->second >= from;
+}
+
+void trouble::later(duration span, action work)
+{
+    this->due.emplace(clock_now() + span, std::move(work));
+}
+
+void trouble::pass(duration span)
+{
+    const auto until = clock_now() + span;
+    auto next_heartbeat = clock_now();
+    while (clock_now() < until) {
+        if (clock_now() >= next_heartbeat) {
+            this->place.heartbeat();
+            next_heartbeat = clock_now() + heartbeat_interval;
+        }
+        while (!this->due.empty() && this->due.begin()->first <= clock_now()) {
+            const auto work = std::move(this->due.begin()->second);
+            this->due.erase(this->due.begin());
+            work();
+        }
+        this->check_running();
+        std::this_thread::sleep_for(step);
+    }
+}
+
+void trouble::run(duration span)
+{
+    const auto until = clock_now() + span;
+    while (clock_now() < until) {
+        this->draw();
+        this->pass(this->between(50, 900));
+    }
+}
+
+// A gateway ends only when it is told to.
+void trouble::check_running()
+{
+    for (auto& each : this->place.gateways) {
+        if (!each.process || this->stopping[each.name]) {
+            continue;
+        }
+        if (const auto status = each.process->ended()) {
+            this->watch.blame(each.name + " ended by itself with status " +
+                              std::to_string(*status));
+            this->place.start(each);
+        }
+    }
+}
+
+void trouble::draw()
+{
+    constexpr std::size_t gateway_kinds = 7;
+    constexpr std::size_t backend_kinds = 8;
+    constexpr std::size_t store_kinds = 8;
+    const auto kind = uniform_index(this->random, gateway_kinds + backend_kinds + store_kinds);
+    auto& vm = this->place.gateways[uniform_index(this->random, this->place.gateways.size())];
+    auto& backend = *this->place.backends[uniform_index(this->random, this->place.backends.size())];
+    if (kind < gateway_kinds) {
+        this->draw_at_gateway(kind, vm);
+    }
+    else if (kind < gateway_kinds + backend_kinds) {
+        this->draw_at_backend(kind - gateway_kinds, backend);
+    }
+    else {
+        this->draw_at_store(kind - gateway_kinds - backend_kinds);
+    }
+}
+
+void trouble::draw_at_gateway(std::size_t kind, gateway_vm& vm)
+{
+    if (!vm.process || this->stopping[vm.name] || this->paused[vm.name]) {
+        return;
+    }
+    const auto span = this->between(100, 2000);
+    switch (kind) {
+    case 0:
+        this->note(vm.name + " paused");
+        this->disturb(vm.name, span);
+        this->paused[vm.name] = true;
+        vm.process->signal(SIGSTOP);
+        this->later(span, [this, &vm] {
+            this->paused[vm.name] = false;
+            if (vm.process) {
+                vm.process->signal(SIGCONT);
+            }
+        });
+        break;
+    case 1:
+        this->kill(vm, span);
+        break;
+    case 2:
+        this->stop_and_start(vm);
+        break;
+    case 3:
+        this->note(vm.name + " reload");
+        this->place.write_settings(vm, 10.0 + static_cast<double>(uniform_index(this->random, 50)));
+        if (uniform(this->random) < 0.5) {
+            vm.process->signal(SIGHUP);
+        }
+        break;
+    default: {
+        constexpr std::array<link_state, 3> states{link_state::silent, link_state::answers_held,
+                                                   link_state::resetting};
+        this->note(vm.name + " link to the store " + std::to_string(kind));
+        this->disturb(vm.name, span);
+        vm.to_store->set(states[kind - 4]);
+        this->later(span, [&vm] { vm.to_store->set(link_state::passing); });
+    }
+    }
+}
+
+void trouble::kill(gateway_vm& vm, duration away)
+{
+    this->note(vm.name + " killed");
+    this->disturb(vm.name, away + seconds(2));
+    vm.process.reset();
+    this->later(away, [this, &vm] { this->place.start(vm); });
+}
+
+void trouble::stop_and_start(gateway_vm& vm)
+{
+    this->note(vm.name + " told to stop");
+    this->stopping[vm.name] = true;
+    this->disturb(vm.name, stop_within + seconds(2));
+    vm.process->signal(SIGTERM);
+    this->later(stop_within + milliseconds(500), [this, &vm, stop = ++this->stops[vm.name]] {
+        const bool still = this->stopping[vm.name] && this->stops[vm.name] == stop;
+        if (still && vm.process && !this->paused[vm.name]) {
+            this->watch.blame(vm.name + " did not stop in time");
+        }
+    });
+    this->await_end(vm);
+}
+
+void trouble::await_end(gateway_vm& vm)
+{
+    const auto status = vm.process ? vm.process->ended() : std::nullopt;
+    if (!status) {
+        this->later(step, [this, &vm] { this->await_end(vm); });
+        return;
+    }
+    if (*status != status_stopped) {
+        this->watch.blame(vm.name + " stopped with status " + std::to_string(*status));
+    }
+    this->stopping[vm.name] = false;
+    this->place.start(vm);
+}
+
+void trouble::draw_at_backend(std::size_t kind, house_backend& backend)
+{
+    const auto span = this->between(100, 2000);
+    const auto name = backend.id();
+    switch (kind) {
+    case 0: {
+        this->note(name + " crashes");
+        backend.crash(this->next_instance(), span, seconds(3));
+        this->later(silence_limit,
+                    [this, name] { this->place.store.put("keyed.servers", name, std::nullopt); });
+        break;
+    }
+    case 1:
+        this->note(name + " turns cold");
+        backend.turn_cold(this->between(500, 3000));
+        break;
+    case 2:
+        this->note(name + " hangs");
+        backend.hang(true);
+        this->later(span, [&backend] { backend.hang(false); });
+        break;
+    case 3:
+        this->note(name + " leaves and starts again");
+        backend.drain();
+        this->place.heartbeat();
+        this->later(milliseconds(2500), [this, &backend, name] {
+            if (backend.id() == name) {
+                backend.crash(this->next_instance(), milliseconds(300), seconds(2));
+                this->place.store.put("keyed.servers", name, std::nullopt);
+            }
+        });
+        break;
+    default: {
+        constexpr std::array<link_state, 4> states{link_state::delayed, link_state::silent,
+                                                   link_state::answers_held, link_state::resetting};
+        this->note(name + " link " + std::to_string(kind));
+        backend.set_link(states[kind - 4], this->between(5, 300));
+        this->later(span, [&backend] { backend.set_link(link_state::passing); });
+    }
+    }
+}
+
+void trouble::set_store_faults(const standin::store_faults& now, duration span)
+{
+    this->place.store.set_faults(now);
+    this->later(span, [this] { this->place.store.set_faults({}); });
+}
+
+void trouble::draw_at_store(std::size_t kind)
+{
+    const auto span = this->between(200, 3000);
+    standin::store_faults faults;
+    switch (kind) {
+    case 0:
+        faults.outage = true;
+        break;
+    case 1:
+        faults.silent = true;
+        break;
+    case 2:
+        faults.slow = this->between(50, 900);
+        break;
+    case 3:
+        faults.lost_answers = 3;
+        faults.late_appends = 2;
+        break;
+    case 4:
+        this->note("configuration");
+        this->extra_route = !this->extra_route;
+        this->place.configure(this->extra_route);
+        return;
+    case 5: {
+        const auto& zone = this->place.data_centres().front();
+        this->note(zone + " out of service");
+        this->place.set_out_of_service(zone, true);
+        this->later(span, [this, zone] { this->place.set_out_of_service(zone, false); });
+        return;
+    }
+    case 6:
+        this->note("store compacts");
+        this->place.store.compact("keyed.op");
+        this->place.store.compact("keyed.servers");
+        return;
+    default:
+        this->note("all gateways killed");
+        for (auto& each : this->place.gateways) {
+            if (each.process && !this->stopping[each.name] && !this->paused[each.name]) {
+                this->kill(each, span);
+            }
+        }
+        return;
+    }
+    this->note("store fault " + std::to_string(kind));
+    this->disturb_all(span);
+    this->set_store_faults(faults, span);
+}
+
+void trouble::calm()
+{
+    while (!this->due.empty()) {
+        this->pass(step);
+    }
+    this->note("calm");
+}
+
+} // namespace azureshore::soak
--- /dev/null
+++ b/tests/soak/trouble.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "azureshore/core/random.hpp"
+#include "soak/house.hpp"
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace azureshore::soak {
+
+// Faults in series that overlap, drawn from a seed. Callers ask from other threads whether a
+// gateway is disturbed.
+class trouble {
+public:
+    trouble(std::uint64_t seed, house& in, judge& watched_by);
+
+    // Draws faults for this long.
+    void run(duration span);
+
+    // Ends every fault, and waits until every gateway runs and is ready.
+    void calm();
+
+    // Whether this gateway's process, links or store have had a fault since `from`.
+    [[nodiscard]] bool disturbed(const gateway_vm& vm, time_point from) const;
+
+    // What was done, in order, for the report of a failure.
+    [[nodiscard]] const std::string& story() const { return this->told; }
+
+    // Lets `span` pass while backend servers write to the store and due work is done.
+    void pass(duration span);
+
+private:
+    using action = std::function<void()>;
+
+    void draw();
+    void draw_at_gateway(std::size_t kind, gateway_vm& vm);
+    void draw_at_backend(std::size_t kind, house_backend& backend);
+    void draw_at_store(std::size_t kind);
+    void stop_and_start(gateway_vm& vm);
+    void kill(gateway_vm& vm, duration away);
+    void await_end(gateway_vm& vm);
+    void check_running();
+    void note(const std::string& what);
+    void disturb(const std::string& name, duration span);
+    void disturb_all(duration span);
+    // Does `work` once `span` has passed.
+    void later(duration span, action work);
+    void set_store_faults(const standin::store_faults& now, duration span);
+    [[nodiscard]] duration between(int least_ms, int most_ms);
+    [[nodiscard]] std::string next_instance();
+
+    random_source random;
+    house& place;
+    judge& watch;
+    time_point began;
+    std::multimap<time_point, action> due;
+    std::map<std::string, bool> stopping;
+    std::map<std::string, std::size_t> stops;
+    std::map<std::string, bool> paused;
+    bool extra_route = false;
+    std::size_t last_instance = 0;
+    std::string told;
+    mutable std::mutex lock;
+    std::map<std::string, time_point> disturbed_until;
+};
+
+} // namespace azureshore::soak
--- /dev/null
+++ b/tests/users_platform/store_calls_tests.cpp
@@ -0,0 +1,195 @@
+// The adapter's calls against the stand-in of the store, over sockets.
+
+#include "keyed_store.hpp"
+#include "platform/decode.hpp"
+#include "platform/store_calls.hpp"
+#include "run.hpp"
+
+#include <asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace azureshore;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr duration timeout = 2s;
+
+class running_store {
+public:
+    explicit running_store(standin::store_limits limits = {})
+        : store(limits,
+                [this](duration span, std::function<void()> work) {
+                    this->timers.after(span, std::move(work));
+                }),
+          server({{"127.0.0.1", 0}, 1}, {[this](const net::http_call& call, net::responder answer) {
+                                             this->store.handle(call, std::move(answer));
+                                         },
+                                         nullptr, nullptr}),
+          where{"127.0.0.1", server.port()}, http(executor)
+    {
+    }
+
+    platform::keyed_topic topic(const std::string& name, duration patience = timeout)
+    {
+        return users_platform::open_topic(this->http, this->where, patience, name);
+    }
+
+    platform::keyed_list list(const platform::keyed_topic& of)
+    {
+        std::optional<platform::keyed_list> came;
+        of.list([&came](platform::keyed_list listed) { came = std::move(listed); });
+        this->wait_for(came);
+        return *came;
+    }
+
+    platform::keyed_read read(const platform::keyed_topic& of, std::uint64_t from,
+                              std::chrono::milliseconds wait = 0ms)
+    {
+        std::optional<platform::keyed_read> came;
+        of.read(from, wait, [&came](platform::keyed_read records) { came = std::move(records); });
+        this->wait_for(came);
+        return *came;
+    }
+
+    bool append(const std::string& topic, const std::string& key, const std::string& value,
+                duration patience = timeout)
+    {
+        std::optional<bool> done;
+        users_platform::append_keyed(this->http, this->where, patience, topic, key, value,
+                                     [&done](bool taken) { done = taken; });
+        this->wait_for(done);
+        return *done;
+    }
+
+    standin::delays timers;
+    standin::keyed_store store;
+
+private:
+    template <typename Value>
+    void wait_for(const std::optional<Value>& came)
+    {
+        while (!came) {
+            this->executor.run_one();
+        }
+    }
+
+    net::http_server server;
+    address where;
+    asio::io_context executor;
+    net::http_client http;
+};
+
+const std::string mine = "keyed.mine";
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(users_platform_store_calls)
+
+BOOST_AUTO_TEST_CASE(what_is_appended_is_listed_and_read_with_any_key)
+{
+    running_store of;
+    const auto topic = of.topic(mine);
+    BOOST_TEST(of.append(mine, "evacuate/a b&c", "x"));
+    const auto listed = of.list(topic);
+    BOOST_TEST(listed.ok);
+    BOOST_REQUIRE(listed.records.size() == 1U);
+    BOOST_TEST(listed.records[0].key == "evacuate/a b&c");
+    BOOST_TEST(listed.next_offset == 1U);
+    const auto read = of.read(topic, 0);
+    BOOST_REQUIRE(read.records.size() == 1U);
+    BOOST_TEST(read.records[0].value.value() == "x");
+    BOOST_TEST(read.next_offset == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_list_of_several_pages_is_whole)
+{
+    running_store of;
+    for (int i = 0; i < 1200; ++i) {
+        of.store.put(mine, "k/" + std::to_string(10000 + i), "v");
+    }
+    const auto listed = of.list(of.topic(mine));
+    BOOST_TEST(listed.ok);
+    BOOST_TEST(listed.records.size() == 1200U);
+    BOOST_TEST(listed.next_offset == 1200U);
+}
+
+BOOST_AUTO_TEST_CASE(a_dropped_key_is_read_without_a_value)
+{
+    running_store of;
+    of.store.put(mine, "a", "1");
+    of.store.put(mine, "a", std::nullopt);
+    const auto read = of.read(of.topic(mine), 1);
+    BOOST_REQUIRE(read.records.size() == 1U);
+    BOOST_TEST(!read.records[0].value.has_value());
+    BOOST_TEST(of.list(of.topic(mine)).records.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_read_that_waits_ends_with_the_next_record)
+{
+    running_store of;
+    of.timers.after(20ms, [&of] { of.store.put(mine, "a", "1"); });
+    BOOST_TEST(of.read(of.topic(mine), 0, 30'000ms).records.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_read_of_deleted_records_says_so)
+{
+    running_store of;
+    of.store.put(mine, "a", "1");
+    of.store.put(mine, "b", "2");
+    of.store.compact(mine);
+    BOOST_TEST((of.read(of.topic(mine), 0).outcome == platform::read_outcome::expired));
+    BOOST_TEST((of.read(of.topic(mine), 1).outcome == platform::read_outcome::ok));
+}
+
+BOOST_AUTO_TEST_CASE(a_store_that_refuses_is_unavailable_and_nothing_is_listed)
+{
+    running_store of;
+    of.store.put(mine, "a", "1");
+    standin::store_faults faults;
+    faults.outage = true;
+    of.store.set_faults(faults);
+    BOOST_TEST(!of.append(mine, "a", "2"));
+    BOOST_TEST(!of.list(of.topic(mine)).ok);
+    BOOST_TEST((of.read(of.topic(mine), 0).outcome == platform::read_outcome::unavailable));
+    of.store.set_faults({});
+    BOOST_TEST(of.list(of.topic(mine)).ok);
+}
+
+BOOST_AUTO_TEST_CASE(a_store_that_does_not_answer_is_given_up_after_the_time_out)
+{
+    running_store of;
+    standin::store_faults faults;
+    faults.silent = true;
+    of.store.set_faults(faults);
+    BOOST_TEST(!of.append(mine, "a", "1", 50ms));
+    const auto read = of.read(of.topic(mine, 50ms), 0);
+    BOOST_TEST((read.outcome == platform::read_outcome::unavailable));
+}
+
+BOOST_AUTO_TEST_CASE(an_append_whose_answer_is_lost_is_not_taken_for_done)
+{
+    running_store of;
+    standin::store_faults faults;
+    faults.lost_answers = 1;
+    of.store.set_faults(faults);
+    BOOST_TEST(!of.append(mine, "a", "1", 50ms));
+    BOOST_TEST(of.list(of.topic(mine)).records.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(calls_beyond_the_rate_fail_and_later_ones_pass)
+{
+    running_store of({1, 1000, 100});
+    BOOST_TEST(of.append(mine, "a", "1"));
+    BOOST_TEST(!of.append(mine, "a", "2"));
+    BOOST_TEST(of.list(of.topic(mine)).records[0].value.value() == "1");
+}
+
+BOOST_AUTO_TEST_CASE(topics_of_others_can_not_be_written)
+{
+    running_store of;
+    BOOST_TEST(!of.append("keyed.op", "config", "{}"));
+    BOOST_TEST(of.list(of.topic("keyed.op")).records.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tools/standin/http_tools.cpp
+++ b/tools/standin/http_tools.cpp
@@ -1,5 +1,7 @@
 #include "http_tools.hpp"
 
+#include "azureshore/net/field_text.hpp"
+
 #include <charconv>
 
 namespace azureshore::standin {
@@ -28,7 +30,7 @@
         const auto equals = pair.find('=');
         const auto value =
             equals == std::string_view::npos ? std::string_view{} : pair.substr(equals + 1);
-        parts.query[std::string(pair.substr(0, equals))] = std::string(value);
+        parts.query[std::string(pair.substr(0, equals))] = net::percent_decoded(std::string(value));
         rest = end == std::string_view::npos ? std::string_view{} : rest.substr(end + 1);
     }
     return parts;
--- /dev/null
+++ b/tools/standin/keyed_store.hpp
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "azureshore/core/time.hpp"
+#include "azureshore/net/http_server.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace azureshore::standin {
+
+// Faults of the store, switched at run time.
+struct store_faults {
+    // Every call is refused, and nothing is done.
+    bool outage = false;
+    // No call is answered, and nothing is done.
+    bool silent = false;
+    // Each answer is held back this long.
+    duration slow{};
+    // This many further appends take effect and are not answered.
+    std::int64_t lost_answers = 0;
+    // This many further appends are not answered and take effect `late_by` later.
+    std::int64_t late_appends = 0;
+    duration late_by = std::chrono::seconds(2);
+    // Whether a record that comes leaves waiting reads asleep.
+    bool sleepy = false;
+};
+
+struct store_limits {
+    // Calls beyond these rates get 429.
+    double writes_per_second = 100;
+    double reads_per_second = 400;
+    // Records of a topic that can still be read one by one; the newest of each key stays listed.
+    std::size_t retained_records = 10'000;
+};
+
+// The users' platform's store as far as a gateway uses it: topics of keyed records with one
+// partition, in memory.
+class keyed_store {
+public:
+    // Runs a function after a delay, on any thread.
+    using delay_function = std::function<void(duration, std::function<void()>)>;
+
+    keyed_store(store_limits limits, delay_function after);
+
+    // Handles one HTTP call.
+    void handle(const net::http_call& call, net::responder respond);
+
+    // Writes as operators and backend servers do, past rates and faults; no value drops the key.
+    void put(const std::string& topic, const std::string& key, std::optional<std::string> value);
+
+    // Forgets all but the newest records of a topic, so that a read from before them is too old.
+    void compact(const std::string& topic);
+
+    void set_faults(const store_faults& now);
+
+private:
+    struct record {
+        std::uint64_t offset = 0;
+        std::string key;
+        std::optional<std::string> value;
+    };
+
+    struct topic_state {
+        std::uint64_t next_offset = 0;
+        std::deque<record> history;
+        std::map<std::string, record> newest;
+        [[nodiscard]] std::uint64_t first_offset() const;
+    };
+
+    struct waiter {
+        std::uint64_t id = 0;
+        std::string topic;
+        std::uint64_t from = 0;
+        net::responder respond;
+    };
+
+    struct rate {
+        double per_second = 0;
+        double tokens = 0;
+        time_point at{};
+        bool take(time_point now);
+    };
+
+    using pending_answers = std::vector<std::function<void()>>;
+
+    void control(const std::string& path, const net::http_call& call,
+                 const net::responder& respond);
+    void append(const net::http_call& call, const net::responder& respond);
+    void read(const net::http_call& call, net::responder respond);
+    void newest(const net::http_call& call, const net::responder& respond);
+    void end_wait(std::uint64_t id);
+    // Under the lock; the answers are given after it is released.
+    pending_answers add(const std::string& topic, record entry);
+    net::http_answer records_answer(const topic_state& of, std::uint64_t from) const;
+    // What a call that is no control call meets first; nothing when it goes on.
+    std::optional<net::http_answer> turned_away(bool writes);
+
+    store_limits limits;
+    delay_function after;
+    std::mutex lock;
+    store_faults faults;
+    rate writes;
+    rate reads;
+    std::map<std::string, topic_state> topics;
+    std::list<waiter> waiters;
+    std::uint64_t last_waiter = 0;
+};
+
+// Runs the stand-in until SIGTERM or SIGINT; returns the exit status.
+int run_keyed_store(const std::vector<std::string>& arguments);
+
+} // namespace azureshore::standin
--- a/tools/standin/main.cpp
+++ b/tools/standin/main.cpp
@@ -1,4 +1,5 @@
 #include "backend_server.hpp"
+#include "keyed_store.hpp"
 #include "log_service.hpp"
 #include "request.hpp"
 #include "vm_list_service.hpp"
@@ -21,6 +22,7 @@
         {"backend-server", azureshore::standin::run_backend_server},
         {"log", azureshore::standin::run_log_service},
         {"request", azureshore::standin::run_request},
+        {"store", azureshore::standin::run_keyed_store},
         {"vm-list", azureshore::standin::run_vm_list_service},
     };
     return all;
--- a/tools/standin/run_services.cpp
+++ b/tools/standin/run_services.cpp
@@ -1,3 +1,5 @@
+#include "http_tools.hpp"
+#include "keyed_store.hpp"
 #include "log_service.hpp"
 #include "run.hpp"
 #include "vm_list_service.hpp"
@@ -66,6 +68,32 @@
     });
 }
 
+int run_keyed_store(const std::vector<std::string>& arguments)
+{
+    std::string listen;
+    store_limits limits;
+    options::options_description known("azureshore-standin store");
+    known.add_options()("help", "shows this text")(
+        "listen", options::value(&listen)->default_value("127.0.0.1:0"), "HOST:PORT")(
+        "writes-per-second",
+        options::value(&limits.writes_per_second)->default_value(limits.writes_per_second),
+        "writing calls taken in a second")(
+        "reads-per-second",
+        options::value(&limits.reads_per_second)->default_value(limits.reads_per_second),
+        "reading calls taken in a second");
+    options::variables_map values;
+    if (const auto status = parse(arguments, known, values)) {
+        return *status;
+    }
+    delays timers;
+    keyed_store service(limits, [&timers](duration span, std::function<void()> action) {
+        timers.after(span, std::move(action));
+    });
+    return serve("store", listen, [&service](const net::http_call& call, net::responder respond) {
+        service.handle(call, std::move(respond));
+    });
+}
+
 int run_vm_list_service(const std::vector<std::string>& arguments)
 {
     std::string listen;
