Latency histograms, azureshorectl explain, and a page of events held against the code

The metrics page of a gateway tells by service, kind and outcome how long requests took, waited, were at their backend server, and what the gateway added. explain puts a request's lines from several logs in order with what was believed then; the operations page is checked against the events and metrics in the sources.

--- a/src/azureshore/balance/dispatch_types.hpp
+++ b/src/azureshore/balance/dispatch_types.hpp
@@ -93,6 +93,20 @@
     std::optional<duration> retry_after;
 };
 
+// A request on a route that got its final answer.
+struct ended_request {
+    service_id service;
+    bool idempotent = false;
+    // "answered", or why it was refused; a literal.
+    std::string_view outcome;
+    // From its arrival to its final answer.
+    duration total{};
+    // From its arrival to its first send, if there was one.
+    std::optional<duration> until_sent;
+    // From the send to the backend server's answer, if that was delivered.
+    std::optional<duration> at_backend;
+};
+
 struct dispatcher_hooks {
     std::function<time_point()> clock;
     // Runs a function once, after a delay.
@@ -109,6 +123,8 @@
     observe::decision_hook decided;
     // A backend server's process ended while it ran a request. May be empty.
     std::function<void(std::uint64_t fingerprint)> suspected;
+    // For measurements; may be empty.
+    std::function<void(const ended_request&)> ended;
 };
 
 // Bounds that all daemons keep together, of which each takes its part.
--- a/src/azureshore/balance/internal/attempts.cpp
+++ b/src/azureshore/balance/internal/attempts.cpp
@@ -47,6 +47,9 @@
         this->service(of.service).allowance.sent(now);
     }
     ++known->in_flight;
+    if (!of.until_sent) {
+        of.until_sent = now - of.in.arrived;
+    }
     of.running.insert(attempt);
     of.tried.insert(to.backend);
     this->attempts[attempt] = {of.in.number, to.backend, now, to.cost};
@@ -159,6 +162,7 @@
 void dispatcher::state::answered(live_request& of, attempt_number attempt,
                                  const running_attempt& ended, const attempt_result& result)
 {
+    of.at_backend = this->now() - ended.sent;
     if (result.status < first_server_error) {
         this->work(of).learn(this->now() - ended.sent, ended.cost);
         this->suspected.cleared(of.in.fingerprint);
--- a/src/azureshore/balance/internal/dispatcher_state.hpp
+++ b/src/azureshore/balance/internal/dispatcher_state.hpp
@@ -67,6 +67,9 @@
     bool queued = false;
     // A failure that the backend server itself answered, delivered if nothing better comes.
     std::optional<attempt_number> fallback;
+    std::optional<duration> until_sent;
+    // How long the backend server took for the answer that came last.
+    std::optional<duration> at_backend;
 };
 
 class dispatcher::state {
@@ -158,6 +161,7 @@
     // Ends.
     void deadline_passed(request_number request);
     void deliver(live_request& of, attempt_number attempt);
+    void measure(const live_request& of, std::string_view outcome);
     refusal without_answer(const live_request& of);
     void refuse(live_request& of, refusal why);
     void refuse_new(const arrived_request& request, refusal why);
--- a/src/azureshore/gateway/gateway.cpp
+++ b/src/azureshore/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "azureshore/core/hash.hpp"
 #include "azureshore/gateway/backend_pool.hpp"
 #include "azureshore/gateway/http_port.hpp"
+#include "azureshore/gateway/internal/request_times.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -75,6 +76,7 @@
         add("azureshore_second_sends_total", counted.second_sends);
         add("azureshore_probes_total", counted.probes);
         add("azureshore_backend_connections_opened_total", this->pool.opened());
+        this->times.write(text);
         return text;
     }
 
@@ -123,6 +125,9 @@
         hooks.random = system_random();
         hooks.decided = std::move(decided);
         hooks.suspected = std::move(suspected);
+        hooks.ended = [this](const balance::ended_request& request) {
+            this->times.ended(request);
+        };
         return hooks;
     }
 
@@ -229,6 +234,7 @@
 
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     std::unordered_map<request_number, stored_request> requests;
+    detail::request_times times;
 };
 
 http_gateway::http_gateway(asio::io_context& executor, const gateway_settings& settings,
--- a/src/azureshorectl/commands/command.hpp
+++ b/src/azureshorectl/commands/command.hpp
@@ -37,6 +37,7 @@
 command make_vm_out();
 command make_vm_in();
 command make_status();
+command make_explain();
 
 // Every command, in the order of the help.
 const std::vector<command>& commands();
--- a/tests/documentation/documentation_tests.cpp
+++ b/tests/documentation/documentation_tests.cpp
@@ -35,6 +35,25 @@
     return text;
 }
 
+// What a gateway is made of, as far as it logs and counts.
+std::string gateway_sources()
+{
+    std::string text;
+    for (const auto* folder : {"balance", "gateway", "sharing"}) {
+        for (const auto& each :
+             std::filesystem::recursive_directory_iterator(root / "src/azureshore" / folder)) {
+            if (each.path().extension() == ".cpp") {
+                text += read(each.path());
+            }
+        }
+    }
+    for (const auto* file : {"daemon/gateway_daemon.cpp", "daemon/internal/gateway_store.cpp",
+                             "observe/event_log.cpp"}) {
+        text += read(root / "src/azureshore" / file);
+    }
+    return text;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(documentation)
@@ -53,6 +72,46 @@
     BOOST_TEST(read(root / "docs/81-gateway-settings.md").find(reference) != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(every_event_and_metric_of_a_gateway_is_on_the_operations_page)
+{
+    const auto page = read(root / "docs/OPERATIONS.md");
+    const auto sources = gateway_sources();
+    const std::regex events(R"re((?:log|write|decided)\(\s*\{?(?:\w+ \? )?"([a-z_]+)")re");
+    std::size_t found = 0;
+    for (std::sregex_iterator each(sources.begin(), sources.end(), events), end; each != end;
+         ++each, ++found) {
+        const auto name = (*each)[1].str();
+        BOOST_TEST(page.find('`' + name + '`') != std::string::npos, name);
+    }
+    BOOST_TEST(found > 15U);
+    const std::regex metrics(R"re("(azureshore_[a-z_]+)")re");
+    for (std::sregex_iterator each(sources.begin(), sources.end(), metrics), end; each != end;
+         ++each) {
+        const auto name = (*each)[1].str();
+        BOOST_TEST(page.find('`' + name + '`') != std::string::npos, name);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(every_event_on_the_operations_page_is_written_by_a_gateway)
+{
+    const auto page = read(root / "docs/OPERATIONS.md");
+    const auto sources = gateway_sources();
+    const auto begin = page.find("| event |");
+    const auto table = page.substr(begin, page.find("\n\n", begin) - begin);
+    std::istringstream rows(table);
+    std::size_t found = 0;
+    for (std::string row; std::getline(rows, row);) {
+        const auto names = row.substr(0, row.find('|', 1));
+        const std::regex quoted("`([a-z_]+)`");
+        for (std::sregex_iterator each(names.begin(), names.end(), quoted), end; each != end;
+             ++each, ++found) {
+            const auto name = (*each)[1].str();
+            BOOST_TEST(sources.find('"' + name + '"') != std::string::npos, name);
+        }
+    }
+    BOOST_TEST(found > 15U);
+}
+
 BOOST_AUTO_TEST_CASE(the_examples_of_both_houses_are_valid)
 {
     for (const auto* name : {"01-dar-el-nahhas-entry-vm.toml", "02-kjaergaard-entry-vm.toml"}) {
--- a/tests/gateway/gateway_tests.cpp
+++ b/tests/gateway/gateway_tests.cpp
@@ -359,4 +359,27 @@
     BOOST_TEST(field_of(answer, "Connection") == "close");
 }
 
+BOOST_AUTO_TEST_CASE(the_metrics_page_tells_how_long_requests_took_by_service_kind_and_outcome)
+{
+    one_backend of([](raw_connection& connection, const std::string& request) {
+        connection.send(answer_to(request, "ok"));
+        return true;
+    });
+    raw_client caller(of.gateway.port());
+    caller.send(request_text("GET /plates/1", "r-1"));
+    BOOST_TEST(caller.read_until("ok").ends_with("ok"));
+    std::string page;
+    of.gateway.run([&page](const gateway::http_gateway& gateway) { page = gateway.metrics(); });
+    const std::string labels = "service=\"plates\",kind=\"idempotent\",outcome=\"answered\"";
+    for (const std::string name :
+         {"azureshore_request_duration_seconds", "azureshore_request_queue_seconds",
+          "azureshore_backend_response_seconds", "azureshore_added_seconds"}) {
+        BOOST_TEST(page.find("# TYPE " + name + " histogram\n") != std::string::npos, name);
+        BOOST_TEST(page.find(name + "_count{" + labels + "} 1\n") != std::string::npos, name);
+        BOOST_TEST(page.find(name + "_bucket{" + labels + ",le=\"+Inf\"} 1\n") != std::string::npos,
+                   name);
+    }
+    BOOST_TEST(page.find("azureshore_requests_total 1\n") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/observe/metrics_tests.cpp
+++ b/tests/observe/metrics_tests.cpp
@@ -1,9 +1,12 @@
+#include "azureshore/observe/latency_histogram.hpp"
 #include "azureshore/observe/metrics.hpp"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace azureshore;
 using namespace azureshore::observe;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 BOOST_AUTO_TEST_SUITE(metrics_text)
 
@@ -43,4 +46,27 @@
     BOOST_TEST(text.find("seconds_count 10000") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(a_histogram_counts_spans_up_to_each_bound)
+{
+    latency_histogram spans;
+    spans.add(milliseconds(1));
+    spans.add(milliseconds(3));
+    spans.add(seconds(60));
+    std::string text;
+    spans.write(text, "x_seconds", "service=\"a\"");
+    for (const std::string line :
+         {"x_seconds_bucket{service=\"a\",le=\"0.001\"} 1\n",
+          "x_seconds_bucket{service=\"a\",le=\"0.002\"} 1\n",
+          "x_seconds_bucket{service=\"a\",le=\"0.005\"} 2\n",
+          "x_seconds_bucket{service=\"a\",le=\"10\"} 2\n",
+          "x_seconds_bucket{service=\"a\",le=\"+Inf\"} 3\n",
+          "x_seconds_sum{service=\"a\"} 60.004\n", "x_seconds_count{service=\"a\"} 3\n"}) {
+        BOOST_TEST(text.find(line) != std::string::npos, line);
+    }
+    text.clear();
+    spans.write(text, "x_seconds", "");
+    BOOST_TEST(text.find("x_seconds_bucket{le=\"+Inf\"} 3\n") != std::string::npos);
+    BOOST_TEST(text.find("x_seconds_count 3\n") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
