--- a/src/azureshore/gateway/backend_pool.cpp
+++ b/src/azureshore/gateway/backend_pool.cpp
@@ -202,7 +202,7 @@
         out.method = request.method;
         out.target = request.target;
         out.body = request.body;
-        for (auto& each : http1::end_to_end(request.fields)) {
+        for (auto& each : net::end_to_end(request.fields)) {
             if (!net::same_name(each.name, this->words.deadline_ms) &&
                 !net::same_name(each.name, this->words.expected_instance)) {
                 out.fields.push_back(std::move(each));
--- a/src/azureshore/gateway/gateway.cpp
+++ b/src/azureshore/gateway/gateway.cpp
@@ -207,7 +207,7 @@
     std::vector<net::field> forwarded(const http1::request& request,
                                       const http1::response& answer) const
     {
-        auto fields = http1::end_to_end(answer.fields);
+        auto fields = net::end_to_end(answer.fields);
         const auto length = net::find_field(answer.fields, "Content-Length");
         if (request.method == "HEAD" && !length.empty()) {
             fields.push_back({"Content-Length", std::string(length)});
--- a/src/azureshore/http1/message.cpp
+++ b/src/azureshore/http1/message.cpp
@@ -2,41 +2,14 @@
 
 #include <http_parser.h>
 
-#include <algorithm>
-#include <array>
-
 namespace azureshore::http1 {
 
 namespace {
 
-constexpr std::array<std::string_view, 8> connection_fields{
-    "Connection",       "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-    "Proxy-Connection", "TE",         "Transfer-Encoding",  "Upgrade",
-};
-
 constexpr int first_final_status = 200;
 constexpr int no_content = 204;
 constexpr int not_modified = 304;
 
-bool concerns_connection(std::string_view name)
-{
-    return std::any_of(connection_fields.begin(), connection_fields.end(),
-                       [&](std::string_view each) { return net::same_name(each, name); });
-}
-
-// The names that Connection lists concern this connection too.
-std::vector<std::string_view> connection_options(const std::vector<net::field>& fields)
-{
-    std::vector<std::string_view> options;
-    for (const auto& each : fields) {
-        if (net::same_name(each.name, "Connection")) {
-            const auto members = net::list_members(each.value);
-            options.insert(options.end(), members.begin(), members.end());
-        }
-    }
-    return options;
-}
-
 void append_fields(std::string& out, const std::vector<net::field>& fields)
 {
     for (const auto& each : fields) {
@@ -56,24 +29,6 @@
 
 } // namespace
 
-std::vector<net::field> end_to_end(const std::vector<net::field>& fields)
-{
-    const auto options = connection_options(fields);
-    std::vector<net::field> kept;
-    kept.reserve(fields.size());
-    for (const auto& each : fields) {
-        const bool listed = std::any_of(options.begin(), options.end(), [&](auto option) {
-            return net::same_name(option, each.name);
-        });
-        if (!listed && !concerns_connection(each.name) &&
-            !net::same_name(each.name, "Content-Length") && !net::same_name(each.name, "Expect") &&
-            !net::same_name(each.name, "Trailer")) {
-            kept.push_back(each);
-        }
-    }
-    return kept;
-}
-
 std::string write_request(const request& out)
 {
     std::string bytes;
--- a/src/azureshore/http1/message.hpp
+++ b/src/azureshore/http1/message.hpp
@@ -26,10 +26,6 @@
     bool keep_alive = true;
 };
 
-// The fields that go on to the other side: without those that concern one connection alone
-// (RFC 9110, section 7.6.1) and without the length, which the writer sets.
-std::vector<net::field> end_to_end(const std::vector<net::field>& fields);
-
 // The bytes of a request; the length is set for a body or for a method that usually has one.
 std::string write_request(const request& out);
 
--- a/src/azureshore/net/field_text.cpp
+++ b/src/azureshore/net/field_text.cpp
@@ -3,6 +3,7 @@
 #include <curl/curl.h>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <memory>
 
@@ -17,6 +18,30 @@
     return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
 }
 
+constexpr std::array<std::string_view, 8> connection_fields{
+    "Connection",       "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+    "Proxy-Connection", "TE",         "Transfer-Encoding",  "Upgrade",
+};
+
+bool concerns_connection(std::string_view name)
+{
+    return std::any_of(connection_fields.begin(), connection_fields.end(),
+                       [&](std::string_view each) { return same_name(each, name); });
+}
+
+// The names that Connection lists concern this connection too.
+std::vector<std::string_view> connection_options(const std::vector<field>& fields)
+{
+    std::vector<std::string_view> options;
+    for (const auto& each : fields) {
+        if (same_name(each.name, "Connection")) {
+            const auto members = list_members(each.value);
+            options.insert(options.end(), members.begin(), members.end());
+        }
+    }
+    return options;
+}
+
 using curl_text = std::unique_ptr<char, decltype(&curl_free)>;
 
 } // namespace
@@ -72,6 +97,22 @@
     return {};
 }
 
+std::vector<field> end_to_end(const std::vector<field>& fields)
+{
+    const auto options = connection_options(fields);
+    std::vector<field> kept;
+    kept.reserve(fields.size());
+    for (const auto& each : fields) {
+        const bool listed = std::any_of(options.begin(), options.end(),
+                                        [&](auto option) { return same_name(option, each.name); });
+        if (!listed && !concerns_connection(each.name) && !same_name(each.name, "Content-Length") &&
+            !same_name(each.name, "Expect") && !same_name(each.name, "Trailer")) {
+            kept.push_back(each);
+        }
+    }
+    return kept;
+}
+
 std::string percent_encoded(const std::string& text)
 {
     const curl_text encoded(curl_easy_escape(nullptr, text.data(), static_cast<int>(text.size())),
--- a/src/azureshore/net/field_text.hpp
+++ b/src/azureshore/net/field_text.hpp
@@ -25,6 +25,10 @@
 // The value of the first field of that name; empty when absent.
 std::string_view find_field(const std::vector<field>& fields, std::string_view name);
 
+// The fields that go on to the other side: without those that concern one connection alone
+// (RFC 9110, section 7.6.1) and without the length, which the writer sets.
+std::vector<field> end_to_end(const std::vector<field>& fields);
+
 // The text as it may stand in a query.
 std::string percent_encoded(const std::string& text);
 
--- a/src/azureshore/proxy/fields.hpp
+++ b/src/azureshore/proxy/fields.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "azureshore/net/http_client.hpp"
 #include "azureshore/outcomes/attempt.hpp"
 
 #include <string_view>
@@ -33,6 +34,6 @@
 
 // The fields that go on to the other side: without those of one connection (RFC 9110, section
 // 7.6.1) and without azureshore's own.
-std::vector<outcomes::header> end_to_end(std::vector<outcomes::header> fields);
+std::vector<outcomes::header> passed_on(const std::vector<net::field>& fields);
 
 } // namespace azureshore::proxy
--- a/src/azureshore/proxy/incoming.cpp
+++ b/src/azureshore/proxy/incoming.cpp
@@ -125,10 +125,7 @@
     auto content = std::make_shared<outcomes::request_content>();
     content->method = std::move(call.method);
     content->target = std::move(call.target);
-    for (auto& each : call.headers) {
-        content->headers.push_back({std::move(each.name), std::move(each.value)});
-    }
-    content->headers = end_to_end(std::move(content->headers));
+    content->headers = passed_on(call.headers);
     content->body = std::move(call.body);
     return content;
 }
--- a/src/azureshore/proxy/internal/attempt_verdict.cpp
+++ b/src/azureshore/proxy/internal/attempt_verdict.cpp
@@ -59,10 +59,7 @@
 {
     outcomes::answer_content answer;
     answer.status = result.status;
-    for (auto& each : result.headers) {
-        answer.headers.push_back({std::move(each.name), std::move(each.value)});
-    }
-    answer.headers = end_to_end(std::move(answer.headers));
+    answer.headers = passed_on(result.headers);
     answer.body = std::move(result.body);
     return answer;
 }
--- a/tests/proxy/front_tests.cpp
+++ b/tests/proxy/front_tests.cpp
@@ -109,15 +109,15 @@
 
 BOOST_AUTO_TEST_CASE(fields_of_one_connection_and_azureshores_own_do_not_pass)
 {
-    const auto passed = end_to_end({{"Host", "h"},
-                                    {"connection", "close, X-Mine"},
-                                    {"x-mine", "1"},
-                                    {"Keep-Alive", "5"},
-                                    {"TE", "trailers"},
-                                    {"Azureshore-Run", "not-run"},
-                                    {"Azureshore-Attempt", "vm1-1"},
-                                    {"Cookie", "a"},
-                                    {"Cookie", "b"}});
+    const auto passed = passed_on({{"Host", "h"},
+                                   {"connection", "close, X-Mine"},
+                                   {"x-mine", "1"},
+                                   {"Keep-Alive", "5"},
+                                   {"TE", "trailers"},
+                                   {"Azureshore-Run", "not-run"},
+                                   {"Azureshore-Attempt", "vm1-1"},
+                                   {"Cookie", "a"},
+                                   {"Cookie", "b"}});
     const std::vector<outcomes::header> expected{{"Host", "h"}, {"Cookie", "a"}, {"Cookie", "b"}};
     BOOST_TEST((passed == expected));
 }
