--- a/tests/soak/caller.cpp
+++ b/tests/deployment/caller.cpp
@@ -1,4 +1,4 @@
-#include "soak/caller.hpp"
+#include "deployment/caller.hpp"
 
 #include "azureshore/http1/message_reader.hpp"
 
@@ -8,7 +8,7 @@
 
 #include <array>
 
-namespace azureshore::soak {
+namespace azureshore::testing {
 
 using asio::ip::tcp;
 
@@ -113,4 +113,4 @@
     return answer;
 }
 
-} // namespace azureshore::soak
+} // namespace azureshore::testing
--- a/tests/soak/caller.hpp
+++ b/tests/deployment/caller.hpp
@@ -10,7 +10,7 @@
 #include <optional>
 #include <string>
 
-namespace azureshore::soak {
+namespace azureshore::testing {
 
 // A request as the users' callers send it: a GET when it is idempotent, else a POST.
 http1::request make_request(const std::string& id, const std::string& target, bool idempotent,
@@ -35,4 +35,4 @@
     address connected_to;
 };
 
-} // namespace azureshore::soak
+} // namespace azureshore::testing
--- a/tests/soak/judge.cpp
+++ b/tests/deployment/judge.cpp
@@ -1,6 +1,6 @@
-#include "soak/judge.hpp"
+#include "deployment/judge.hpp"
 
-namespace azureshore::soak {
+namespace azureshore::testing {
 
 namespace {
 
@@ -81,4 +81,4 @@
     return this->totals;
 }
 
-} // namespace azureshore::soak
+} // namespace azureshore::testing
--- a/tests/soak/judge.hpp
+++ b/tests/deployment/judge.hpp
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace azureshore::soak {
+namespace azureshore::testing {
 
 struct judge_counts {
     std::uint64_t sent = 0;
@@ -50,4 +50,4 @@
     judge_counts totals;
 };
 
-} // namespace azureshore::soak
+} // namespace azureshore::testing
--- a/tests/soak/house_backend.cpp
+++ b/tests/deployment/local_backend.cpp
@@ -1,15 +1,14 @@
-#include "soak/house_backend.hpp"
+#include "deployment/local_backend.hpp"
 
 #include <nlohmann/json.hpp>
 
 #include <utility>
 
-namespace azureshore::soak {
+namespace azureshore::testing {
 
 namespace {
 
 constexpr std::size_t most_waiting = 4;
-constexpr auto work_time = std::chrono::milliseconds(30);
 constexpr std::string_view health_path = "/health";
 
 time_point clock_now()
@@ -38,9 +37,9 @@
 
 } // namespace
 
-house_backend::house_backend(std::string id, std::string in, unsigned slot_count,
+local_backend::local_backend(std::string id, std::string in, unsigned slot_count, duration work,
                              asio::io_context& links, standin::delays& timers_of, judge& watched_by)
-    : zone(std::move(in)), slots(slot_count), timers(timers_of), watch(watched_by),
+    : zone(std::move(in)), slots(slot_count), work_time(work), timers(timers_of), watch(watched_by),
       instance(std::move(id)), born_ms(wall_clock_ms()),
       server({{"127.0.0.1", 0}, 1},
              {[this](const net::http_call& call, const net::responder& respond) {
@@ -51,18 +50,18 @@
 {
 }
 
-std::string house_backend::id() const
+std::string local_backend::id() const
 {
     const std::lock_guard hold(this->lock);
     return this->instance;
 }
 
-bool house_backend::down() const
+bool local_backend::down() const
 {
     return clock_now() < this->up_at;
 }
 
-std::optional<std::string> house_backend::registration()
+std::optional<std::string> local_backend::registration()
 {
     const std::lock_guard hold(this->lock);
     if (this->down()) {
@@ -82,7 +81,7 @@
         .dump();
 }
 
-void house_backend::crash(const std::string& next_id, duration away, duration cold_for)
+void local_backend::crash(const std::string& next_id, duration away, duration cold_for)
 {
     std::deque<waiting_call> lost;
     {
@@ -105,25 +104,25 @@
     }
 }
 
-void house_backend::turn_cold(duration cold_for)
+void local_backend::turn_cold(duration cold_for)
 {
     const std::lock_guard hold(this->lock);
     this->cold_until = clock_now() + cold_for;
 }
 
-void house_backend::drain()
+void local_backend::drain()
 {
     const std::lock_guard hold(this->lock);
     this->draining = true;
 }
 
-void house_backend::forbid_from(time_point when)
+void local_backend::forbid_from(time_point when)
 {
     const std::lock_guard hold(this->lock);
     this->forbidden_from = when;
 }
 
-void house_backend::set_link(test_support::link_state now, duration delay)
+void local_backend::set_link(test_support::link_state now, duration delay)
 {
     {
         const std::lock_guard hold(this->lock);
@@ -133,19 +132,19 @@
     this->proxy.set(now, delay);
 }
 
-void house_backend::hang(bool on)
+void local_backend::hang(bool on)
 {
     const std::lock_guard hold(this->lock);
     this->hanging = on;
 }
 
-std::string house_backend::load() const
+std::string local_backend::load() const
 {
     return std::to_string(this->running) + ',' + std::to_string(this->waiting.size()) + ',' +
            std::to_string(this->slots) + ",100";
 }
 
-net::http_answer house_backend::health() const
+net::http_answer local_backend::health() const
 {
     net::http_answer answer;
     answer.status = this->draining ? 503 : 200;
@@ -159,7 +158,7 @@
     return answer;
 }
 
-void house_backend::note_arrival()
+void local_backend::note_arrival()
 {
     const auto now = clock_now();
     if (this->forbidden_from && now > *this->forbidden_from) {
@@ -185,7 +184,7 @@
     }
 }
 
-void house_backend::handle(const net::http_call& call, const net::responder& respond)
+void local_backend::handle(const net::http_call& call, const net::responder& respond)
 {
     const std::unique_lock hold(this->lock);
     if (this->down()) {
@@ -215,16 +214,16 @@
     }
 }
 
-void house_backend::begin(const waiting_call& next)
+void local_backend::begin(const waiting_call& next)
 {
     ++this->running;
     this->watch.runs(std::string(next.call.header("X-Request-Id")), next.call.target);
     const bool cold = this->cold_until > clock_now();
-    this->timers.after(cold ? 3 * work_time : work_time,
+    this->timers.after(cold ? 3 * this->work_time : this->work_time,
                        [this, next, in = this->life] { this->finish(next, in); });
 }
 
-void house_backend::finish(const waiting_call& done, std::uint64_t in)
+void local_backend::finish(const waiting_call& done, std::uint64_t in)
 {
     net::http_answer answer;
     {
@@ -249,4 +248,4 @@
     done.respond(std::move(answer));
 }
 
-} // namespace azureshore::soak
+} // namespace azureshore::testing
--- a/tests/soak/house_backend.hpp
+++ b/tests/deployment/local_backend.hpp
@@ -2,8 +2,8 @@
 
 #include "azureshore/core/address.hpp"
 #include "azureshore/net/http_server.hpp"
+#include "deployment/judge.hpp"
 #include "run.hpp"
-#include "soak/judge.hpp"
 #include "support/loopback_proxy.hpp"
 
 #include <deque>
@@ -12,7 +12,7 @@
 #include <optional>
 #include <string>
 
-namespace azureshore::soak {
+namespace azureshore::testing {
 
 // How often a cold backend server may be asked, and what more is borne in one second.
 constexpr double cold_per_second = 5;
@@ -20,16 +20,19 @@
 constexpr double cold_slack = 8;
 
 // A backend server in this process as the users' platform describes them, behind a link of its own.
-class house_backend {
+class local_backend {
 public:
-    house_backend(std::string id, std::string data_centre, unsigned slots, asio::io_context& links,
-                  standin::delays& timers, judge& watched_by);
+    local_backend(std::string id, std::string data_centre, unsigned slots, duration work,
+                  asio::io_context& links, standin::delays& timers, judge& watched_by);
 
     // What it writes to the store about itself; nothing while it is down.
     [[nodiscard]] std::optional<std::string> registration();
     [[nodiscard]] std::string id() const;
     [[nodiscard]] const std::string& data_centre() const { return this->zone; }
 
+    // Where it listens itself, past its link.
+    [[nodiscard]] address direct_address() const { return {"127.0.0.1", this->server.port()}; }
+
     // Loses all it runs, and is back after `away` under a new id, cold for `cold_for`.
     void crash(const std::string& next_id, duration away, duration cold_for);
     void turn_cold(duration cold_for);
@@ -60,6 +63,7 @@
 
     const std::string zone;
     const unsigned slots;
+    const duration work_time;
     standin::delays& timers;
     judge& watch;
     mutable std::mutex lock;
@@ -82,4 +86,4 @@
     test_support::loopback_proxy proxy;
 };
 
-} // namespace azureshore::soak
+} // namespace azureshore::testing
--- a/tests/soak/house.cpp
+++ b/tests/deployment/local_deployment.cpp
@@ -1,4 +1,4 @@
-#include "soak/house.hpp"
+#include "deployment/local_deployment.hpp"
 
 #include "processes/http_calls.hpp"
 
@@ -13,7 +13,7 @@
 #include <iomanip>
 #include <sstream>
 
-namespace azureshore::soak {
+namespace azureshore::testing {
 
 namespace {
 
@@ -65,13 +65,13 @@
 
 } // namespace
 
-house::house(const house_plan& plan, judge& watched_by)
+local_deployment::local_deployment(const deployment_plan& plan, judge& watched_by)
     : work(asio::make_work_guard(this->executor)),
       store({1000, 4000, 10'000},
             [this](duration span, std::function<void()> action) {
                 this->timers.after(span, std::move(action));
             }),
-      folder(new_folder(plan.folder)), watch(watched_by), slots(plan.slots),
+      folder(new_folder(plan.folder)), watch(watched_by), slots(plan.slots), work_time(plan.work),
       subnet(subnet_of_this_process())
 {
     const auto first = this->subnet + '1';
@@ -108,7 +108,7 @@
     }
 }
 
-house::~house()
+local_deployment::~local_deployment()
 {
     for (auto& each : this->gateways) {
         each.process.reset();
@@ -119,7 +119,7 @@
     this->links.join();
 }
 
-void house::write_settings(const gateway_vm& vm, double retry_slack) const
+void local_deployment::write_settings(const gateway_vm& vm, double retry_slack) const
 {
     std::ostringstream text;
     const auto at = [&vm](std::uint16_t port) {
@@ -144,24 +144,24 @@
     std::filesystem::rename(next, vm.settings_file);
 }
 
-void house::start(gateway_vm& vm)
+void local_deployment::start(gateway_vm& vm)
 {
     vm.process.emplace(daemon_program,
                        std::vector<std::string>{"--gateway", "--settings", vm.settings_file},
                        this->folder + '/' + vm.name + ".log");
 }
 
-house_backend& house::add_backend()
+local_backend& local_deployment::add_backend()
 {
     const auto number = ++this->last_backend;
-    this->backends.push_back(std::make_unique<house_backend>(
+    this->backends.push_back(std::make_unique<local_backend>(
         "i-" + std::to_string(number), this->zones[number % this->zones.size()], this->slots,
-        this->executor, this->timers, this->watch));
+        this->work_time, this->executor, this->timers, this->watch));
     this->heartbeat();
     return *this->backends.back();
 }
 
-void house::heartbeat()
+void local_deployment::heartbeat()
 {
     for (const auto& each : this->backends) {
         if (const auto text = each->registration()) {
@@ -170,7 +170,7 @@
     }
 }
 
-void house::configure(bool with_extra_route)
+void local_deployment::configure(bool with_extra_route)
 {
     std::ostringstream digits;
     digits << std::hex << std::setfill('0') << std::setw(8) << ++this->version;
@@ -193,23 +193,23 @@
     this->store.put("keyed.op", "config", made.dump());
 }
 
-void house::set_out_of_service(const std::string& data_centre, bool out)
+void local_deployment::set_out_of_service(const std::string& data_centre, bool out)
 {
     this->store.put("keyed.op", "evacuate/" + data_centre,
                     out ? std::optional<std::string>("{}") : std::nullopt);
 }
 
-bool house::ready(const gateway_vm& vm) const
+bool local_deployment::ready(const gateway_vm& vm) const
 {
-    return testing::get({vm.host, this->ready_port}, "/readiness").status == 200;
+    return get({vm.host, this->ready_port}, "/readiness").status == 200;
 }
 
-bool house::wait_until_all_ready() const
+bool local_deployment::wait_until_all_ready() const
 {
-    return testing::eventually([this] {
+    return eventually([this] {
         return std::all_of(this->gateways.begin(), this->gateways.end(),
                            [this](const gateway_vm& each) { return this->ready(each); });
     });
 }
 
-} // namespace azureshore::soak
+} // namespace azureshore::testing
--- a/tests/soak/house.hpp
+++ b/tests/deployment/local_deployment.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "azureshore/core/address.hpp"
+#include "deployment/judge.hpp"
+#include "deployment/local_backend.hpp"
 #include "keyed_store.hpp"
 #include "processes/child_process.hpp"
 #include "run.hpp"
-#include "soak/house_backend.hpp"
-#include "soak/judge.hpp"
 #include "support/loopback_proxy.hpp"
 
 #include <asio/executor_work_guard.hpp>
@@ -20,7 +20,7 @@
 #include <thread>
 #include <vector>
 
-namespace azureshore::soak {
+namespace azureshore::testing {
 
 // One gateway as a process, and its links.
 struct gateway_vm {
@@ -30,27 +30,29 @@
     address callers;
     std::string settings_file;
     std::unique_ptr<test_support::loopback_proxy> to_store;
-    std::optional<testing::child_process> process;
+    std::optional<child_process> process;
 };
 
-struct house_plan {
+struct deployment_plan {
     std::size_t gateways = 3;
     std::size_t backends = 4;
     unsigned slots = 4;
+    // How long a warm backend server works on a request.
+    duration work = std::chrono::milliseconds(30);
     // Where the settings and the logs are written; a new folder when empty.
     std::string folder;
 };
 
 // Gateways as processes on loopback addresses of their own, with the platform's store, backend
 // servers and the links between them in this process.
-class house {
+class local_deployment {
 public:
-    house(const house_plan& plan, judge& watched_by);
-    ~house();
-    house(const house&) = delete;
-    house& operator=(const house&) = delete;
-    house(house&&) = delete;
-    house& operator=(house&&) = delete;
+    local_deployment(const deployment_plan& plan, judge& watched_by);
+    ~local_deployment();
+    local_deployment(const local_deployment&) = delete;
+    local_deployment& operator=(const local_deployment&) = delete;
+    local_deployment(local_deployment&&) = delete;
+    local_deployment& operator=(local_deployment&&) = delete;
 
     // Starts or restarts a gateway's process.
     void start(gateway_vm& vm);
@@ -59,7 +61,7 @@
     void write_settings(const gateway_vm& vm, double retry_slack) const;
 
     // Adds a backend server under a new id.
-    house_backend& add_backend();
+    local_backend& add_backend();
 
     // Puts a configuration in force: the next version, with or without the route /extra/.
     void configure(bool with_extra_route);
@@ -84,7 +86,7 @@
 
 public:
     std::deque<gateway_vm> gateways;
-    std::deque<std::unique_ptr<house_backend>> backends;
+    std::deque<std::unique_ptr<local_backend>> backends;
     standin::delays timers;
     standin::keyed_store store;
     const std::string folder;
@@ -92,6 +94,7 @@
 private:
     judge& watch;
     unsigned slots;
+    duration work_time;
     std::vector<std::string> zones{"north", "south"};
     std::unique_ptr<net::http_server> store_server;
     std::thread links;
@@ -104,4 +107,4 @@
     std::string subnet;
 };
 
-} // namespace azureshore::soak
+} // namespace azureshore::testing
--- a/tests/processes/child_process.cpp
+++ b/tests/processes/child_process.cpp
@@ -7,6 +7,9 @@
 
 #include <array>
 #include <csignal>
+#include <cstdint>
+#include <fstream>
+#include <sstream>
 #include <stdexcept>
 #include <utility>
 
@@ -119,6 +122,25 @@
     kill(this->pid, number);
 }
 
+std::chrono::milliseconds child_process::processor_time() const
+{
+    std::ifstream file("/proc/" + std::to_string(this->pid) + "/stat");
+    std::string text;
+    std::getline(file, text);
+    // The fields after the program's name, which ends with the last parenthesis (proc(5)).
+    std::istringstream rest(text.substr(text.rfind(')') + 2));
+    constexpr int fields_before_times = 11;
+    std::string skipped;
+    for (int i = 0; i < fields_before_times; ++i) {
+        rest >> skipped;
+    }
+    std::int64_t user = 0;
+    std::int64_t system = 0;
+    rest >> user >> system;
+    constexpr std::int64_t ms_per_second = 1000;
+    return std::chrono::milliseconds((user + system) * ms_per_second / sysconf(_SC_CLK_TCK));
+}
+
 int child_process::wait()
 {
     int status = 0;
--- a/tests/processes/child_process.hpp
+++ b/tests/processes/child_process.hpp
@@ -2,6 +2,7 @@
 
 #include <sys/types.h>
 
+#include <chrono>
 #include <optional>
 #include <string>
 #include <vector>
@@ -30,6 +31,9 @@
 
     void signal(int number) const;
 
+    // Processor time used so far, of the process and of the system for it.
+    [[nodiscard]] std::chrono::milliseconds processor_time() const;
+
     // Waits for the end; the exit status, or 128 + the signal's number.
     int wait();
 
--- a/tests/soak/gateway_process_tests.cpp
+++ b/tests/soak/gateway_process_tests.cpp
@@ -1,8 +1,8 @@
 // Gateways as processes against the store's stand-in, each case one planned or unplanned event.
 
+#include "deployment/caller.hpp"
+#include "deployment/local_deployment.hpp"
 #include "processes/http_calls.hpp"
-#include "soak/caller.hpp"
-#include "soak/house.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -11,8 +11,8 @@
 #include <sstream>
 
 using namespace azureshore;
-using namespace azureshore::soak;
-using azureshore::testing::eventually;
+using namespace azureshore::testing;
+
 using std::chrono::milliseconds;
 
 namespace {
@@ -20,12 +20,12 @@
 constexpr auto deadline = milliseconds(2000);
 constexpr int status_ok = 200;
 
-struct small_house {
+struct small_deployment {
     judge watch;
-    house place{{2, 2, 4, ""}, watch};
+    local_deployment place{{2, 2, 4, milliseconds(30), ""}, watch};
     std::size_t asked = 0;
 
-    small_house() { BOOST_REQUIRE(this->place.wait_until_all_ready()); }
+    small_deployment() { BOOST_REQUIRE(this->place.wait_until_all_ready()); }
 
     int ask(const gateway_vm& vm, const std::string& path = "/plates/", bool idempotent = true)
     {
@@ -64,7 +64,7 @@
 
 BOOST_AUTO_TEST_CASE(every_gateway_serves_both_kinds_of_requests)
 {
-    small_house of;
+    small_deployment of;
     for (const auto& vm : of.place.gateways) {
         for (int i = 0; i < 20; ++i) {
             BOOST_TEST(of.ask(vm, "/plates/", true) == status_ok);
@@ -77,7 +77,7 @@
 
 BOOST_AUTO_TEST_CASE(a_planned_stop_answers_what_is_under_way_and_ends_in_time)
 {
-    small_house of;
+    small_deployment of;
     auto& vm = of.place.gateways.front();
     int status = 0;
     std::thread asking([&] { status = of.ask(vm, "/orders/", false); });
@@ -94,7 +94,7 @@
 
 BOOST_AUTO_TEST_CASE(after_all_gateways_lost_power_they_serve_again)
 {
-    small_house of;
+    small_deployment of;
     for (auto& vm : of.place.gateways) {
         vm.process.reset();
     }
@@ -109,7 +109,7 @@
 
 BOOST_AUTO_TEST_CASE(a_gateway_that_starts_while_the_store_is_down_learns_from_another)
 {
-    small_house of;
+    small_deployment of;
     auto& vm = of.place.gateways.front();
     standin::store_faults faults;
     faults.outage = true;
@@ -122,7 +122,7 @@
 
 BOOST_AUTO_TEST_CASE(with_no_store_and_no_peer_requests_are_refused_until_the_store_is_back)
 {
-    small_house of;
+    small_deployment of;
     standin::store_faults faults;
     faults.silent = true;
     of.place.store.set_faults(faults);
@@ -140,7 +140,7 @@
 
 BOOST_AUTO_TEST_CASE(a_configuration_written_during_an_outage_is_in_force_after_it)
 {
-    small_house of;
+    small_deployment of;
     standin::store_faults faults;
     faults.outage = true;
     of.place.store.set_faults(faults);
@@ -155,7 +155,7 @@
 
 BOOST_AUTO_TEST_CASE(a_configuration_is_known_to_all_though_the_store_turns_some_away)
 {
-    small_house of;
+    small_deployment of;
     of.place.gateways.front().to_store->set(test_support::link_state::resetting);
     of.place.configure(true);
     for (const auto& vm : of.place.gateways) {
@@ -166,7 +166,7 @@
 
 BOOST_AUTO_TEST_CASE(broken_and_foreign_records_name_no_server_and_cost_nobody_else)
 {
-    small_house of;
+    small_deployment of;
     of.place.store.put("keyed.servers", "broken", "{\"address\":");
     of.place.store.put("keyed.servers", "foreign", std::string("\xff\0\x01", 3));
     of.place.store.put("keyed.op", "config", "no configuration");
@@ -185,7 +185,7 @@
 
 BOOST_AUTO_TEST_CASE(settings_are_read_again_at_a_signal_and_when_the_file_changes)
 {
-    small_house of;
+    small_deployment of;
     auto& signalled = of.place.gateways[0];
     auto& silent = of.place.gateways[1];
     of.place.write_settings(silent, 20);
@@ -203,7 +203,7 @@
 
 BOOST_AUTO_TEST_CASE(a_backend_server_that_says_it_leaves_gets_nothing_more)
 {
-    small_house of;
+    small_deployment of;
     auto& leaving = *of.place.backends.front();
     leaving.drain();
     of.place.heartbeat();
--- a/tests/soak/soak_tests.cpp
+++ b/tests/soak/soak_tests.cpp
@@ -1,8 +1,8 @@
 // Gateways as processes under faults from outside, in real time. What callers were told is held
 // against what backend servers ran.
 
-#include "soak/caller.hpp"
-#include "soak/house.hpp"
+#include "deployment/caller.hpp"
+#include "deployment/local_deployment.hpp"
 #include "soak/trouble.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -12,7 +12,7 @@
 #include <thread>
 
 using namespace azureshore;
-using namespace azureshore::soak;
+using namespace azureshore::testing;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -47,7 +47,7 @@
 class soak_run {
 public:
     soak_run(std::uint64_t run_seed, const std::string& folder)
-        : seed(run_seed), place({3, 4, slots_of(run_seed), folder}, this->watch),
+        : seed(run_seed), place({3, 4, slots_of(run_seed), milliseconds(30), folder}, this->watch),
           faults(run_seed, this->place, this->watch)
     {
     }
@@ -181,7 +181,7 @@
     }
 
     std::uint64_t seed;
-    house place;
+    local_deployment place;
     trouble faults;
     std::atomic<bool> ended{false};
     std::size_t checks = 0;
--- a/tests/soak/trouble.cpp
+++ b/tests/soak/trouble.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <csignal>
 
-namespace azureshore::soak {
+namespace azureshore::testing {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -27,7 +27,7 @@
 
 } // namespace
 
-trouble::trouble(std::uint64_t seed, house& in, judge& watched_by)
+trouble::trouble(std::uint64_t seed, local_deployment& in, judge& watched_by)
     : random(seeded_random(seed)), place(in), watch(watched_by), began(clock_now())
 {
 }
@@ -217,7 +217,7 @@
     this->place.start(vm);
 }
 
-void trouble::draw_at_backend(std::size_t kind, house_backend& backend)
+void trouble::draw_at_backend(std::size_t kind, local_backend& backend)
 {
     const auto span = this->between(100, 2000);
     const auto name = backend.id();
@@ -322,4 +322,4 @@
     this->note("calm");
 }
 
-} // namespace azureshore::soak
+} // namespace azureshore::testing
--- a/tests/soak/trouble.hpp
+++ b/tests/soak/trouble.hpp
@@ -1,20 +1,20 @@
 #pragma once
 
 #include "azureshore/core/random.hpp"
-#include "soak/house.hpp"
+#include "deployment/local_deployment.hpp"
 
 #include <functional>
 #include <map>
 #include <mutex>
 #include <string>
 
-namespace azureshore::soak {
+namespace azureshore::testing {
 
 // Faults in series that overlap, drawn from a seed. Callers ask from other threads whether a
 // gateway is disturbed.
 class trouble {
 public:
-    trouble(std::uint64_t seed, house& in, judge& watched_by);
+    trouble(std::uint64_t seed, local_deployment& in, judge& watched_by);
 
     // Draws faults for this long.
     void run(duration span);
@@ -36,7 +36,7 @@
 
     void draw();
     void draw_at_gateway(std::size_t kind, gateway_vm& vm);
-    void draw_at_backend(std::size_t kind, house_backend& backend);
+    void draw_at_backend(std::size_t kind, local_backend& backend);
     void draw_at_store(std::size_t kind);
     void stop_and_start(gateway_vm& vm);
     void kill(gateway_vm& vm, duration away);
@@ -52,7 +52,7 @@
     [[nodiscard]] std::string next_instance();
 
     random_source random;
-    house& place;
+    local_deployment& place;
     judge& watch;
     time_point began;
     std::multimap<time_point, action> due;
@@ -66,4 +66,4 @@
     std::map<std::string, time_point> disturbed_until;
 };
 
-} // namespace azureshore::soak
+} // namespace azureshore::testing
