--- a/tests/gateway/gateway_tests.cpp
+++ b/tests/gateway/gateway_tests.cpp
@@ -1,6 +1,7 @@
 #include "gateway/running_gateway.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
 
 #include <atomic>
 #include <future>
@@ -374,10 +375,11 @@
     for (const std::string name :
          {"azureshore_request_duration_seconds", "azureshore_request_queue_seconds",
           "azureshore_backend_response_seconds", "azureshore_added_seconds"}) {
-        BOOST_TEST(page.find("# TYPE " + name + " histogram\n") != std::string::npos, name);
-        BOOST_TEST(page.find(name + "_count{" + labels + "} 1\n") != std::string::npos, name);
-        BOOST_TEST(page.find(name + "_bucket{" + labels + ",le=\"+Inf\"} 1\n") != std::string::npos,
-                   name);
+        for (const auto& line : {fmt::format("# TYPE {} histogram\n", name),
+                                 fmt::format("{}_count{{{}}} 1\n", name, labels),
+                                 fmt::format("{}_bucket{{{},le=\"+Inf\"}} 1\n", name, labels)}) {
+            BOOST_TEST(page.find(line) != std::string::npos, line);
+        }
     }
     BOOST_TEST(page.find("azureshore_requests_total 1\n") != std::string::npos);
 }
--- a/tests/soak/trouble.cpp
+++ b/tests/soak/trouble.cpp
@@ -34,7 +34,7 @@
 
 duration trouble::between(int least_ms, int most_ms)
 {
-    const auto span = static_cast<std::size_t>(most_ms - least_ms + 1);
+    const auto span = static_cast<std::size_t>(most_ms - least_ms) + 1;
     return milliseconds(least_ms + static_cast<int>(uniform_index(this->random, span)));
 }
 
