Set the next look for room before the send, which may end the request

Found on rereading: a request out of budget is ended by send(), and its service was read after that.

--- a/src/azureshore/balance/internal/search.cpp
+++ b/src/azureshore/balance/internal/search.cpp
@@ -111,8 +111,9 @@
         auto load = *each->load;
         load.running = std::max(load.running, each->in_flight);
         if (load.running + load.waiting < load.slots) {
-            search.best = found_backend{each->registered.id, std::nullopt, detail::cost_of(load),
-                                        search.asked.size(), false,        this->now()};
+            const auto cost = detail::cost_of(load);
+            const auto asked = search.asked.size();
+            search.best = found_backend{each->registered.id, {}, cost, asked, false, this->now()};
             return;
         }
     }
@@ -225,12 +226,12 @@
         const bool wait = best->full || this->worth_waiting(of, best->cost);
         if (!wait &&
             now + this->work(of).expected(std::min(best->cost, 2.0) * least_share) < of.deadline) {
-            this->send(of, *best);
             if (search->waited) {
                 // Where one that waited found room, the next may find it too.
                 this->hooks.after(duration::zero(),
                                   [this, name = of.service] { this->serve_queue(name); });
             }
+            this->send(of, *best);
             return;
         }
     }
