--- a/tests/users_platform/store_calls_tests.cpp
+++ b/tests/users_platform/store_calls_tests.cpp
@@ -5,6 +5,7 @@
 #include "platform/store_calls.hpp"
 #include "run.hpp"
 
+#include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -77,6 +78,8 @@
     net::http_server server;
     address where;
     asio::io_context executor;
+    // Between two calls the executor has nothing to do, and must not count as stopped.
+    asio::executor_work_guard<asio::io_context::executor_type> work{this->executor.get_executor()};
     net::http_client http;
 };
 
