--- a/tests/users_platform/store_calls_tests.cpp
+++ b/tests/users_platform/store_calls_tests.cpp
@@ -79,7 +79,7 @@
     address where;
     asio::io_context executor;
     // Between two calls the executor has nothing to do, and must not count as stopped.
-    asio::executor_work_guard<asio::io_context::executor_type> work{this->executor.get_executor()};
+    asio::executor_work_guard<asio::io_context::executor_type> guard{this->executor.get_executor()};
     net::http_client http;
 };
 
