--- a/src/azureshore/balance/internal/attempts.cpp
+++ b/src/azureshore/balance/internal/attempts.cpp
@@ -162,9 +162,10 @@
 void dispatcher::state::answered(live_request& of, attempt_number attempt,
                                  const running_attempt& ended, const attempt_result& result)
 {
-    of.at_backend = this->now() - ended.sent;
+    const auto took = this->now() - ended.sent;
+    of.at_backend = took;
     if (result.status < first_server_error) {
-        this->work(of).learn(this->now() - ended.sent, ended.cost);
+        this->work(of).learn(took, ended.cost);
         this->suspected.cleared(of.in.fingerprint);
         this->deliver(of, attempt);
         return;
--- a/src/azureshore/balance/internal/dispatcher_state.hpp
+++ b/src/azureshore/balance/internal/dispatcher_state.hpp
@@ -42,8 +42,6 @@
     bool second = false;
     // Made for a request that waited for room.
     bool waited = false;
-    // Most backend servers that it asks.
-    std::size_t most_asked = 1;
 };
 
 struct running_attempt {
@@ -139,7 +137,6 @@
     double probe_rate(const service_id& name);
     void choose_unasked(live_request& of, const std::vector<detail::known_backend*>& candidates);
     void release(const found_backend& found);
-    void search_timer(request_number request, std::uint64_t generation);
     void take_reading(live_request& of, const sent_probe& asked, probe_number probe,
                       const probe_reading& reading);
     void decide(live_request& of);
@@ -166,7 +163,8 @@
     // Ends.
     void deadline_passed(request_number request);
     void deliver(live_request& of, attempt_number attempt);
-    void measure(const live_request& of, std::string_view outcome);
+    void measure(const live_request& of, std::string_view outcome,
+                 std::optional<duration> at_backend);
     refusal without_answer(const live_request& of);
     void refuse(live_request& of, refusal why);
     void refuse_new(const arrived_request& request, refusal why);
--- a/src/azureshore/balance/internal/endings.cpp
+++ b/src/azureshore/balance/internal/endings.cpp
@@ -33,7 +33,7 @@
     ++this->counted.answered;
     const auto request = of.in.number;
     this->log("answer", of, {{"attempt", std::to_string(attempt.value)}});
-    this->measure(of, "answered");
+    this->measure(of, "answered", of.at_backend);
     this->end(of);
     this->hooks.deliver(request, attempt);
 }
@@ -67,17 +67,17 @@
                {"waiting", std::to_string(this->service(of.service).queue.size())},
                {"usual_ms", text_of(to_milliseconds(this->work(of).expected(1)))},
                {"left_ms", text_of(to_milliseconds(of.deadline - this->now()))}});
-    of.at_backend.reset();
-    this->measure(of, to_string(why.cause));
+    this->measure(of, to_string(why.cause), std::nullopt);
     this->end(of);
     this->hooks.refuse(request, why);
 }
 
-void dispatcher::state::measure(const live_request& of, std::string_view outcome)
+void dispatcher::state::measure(const live_request& of, std::string_view outcome,
+                                std::optional<duration> at_backend)
 {
     if (this->hooks.ended) {
         this->hooks.ended({of.service, of.on->idempotent, outcome, this->now() - of.in.arrived,
-                           of.until_sent, of.at_backend});
+                           of.until_sent, at_backend});
     }
 }
 
--- a/src/azureshore/balance/internal/search.cpp
+++ b/src/azureshore/balance/internal/search.cpp
@@ -40,7 +40,6 @@
 void dispatcher::state::start_search(live_request& of, bool second, bool waited)
 {
     of.search.emplace();
-    of.search->most_asked = waited ? asked_after_wait : good_enough.size();
     of.search->generation = ++this->last_generation;
     of.search->second = second;
     of.search->waited = waited;
@@ -57,7 +56,7 @@
 void dispatcher::state::ask_next(live_request& of)
 {
     auto& search = *of.search;
-    if (search.asked.size() >= search.most_asked) {
+    if (search.asked.size() >= (search.waited ? asked_after_wait : good_enough.size())) {
         if (search.pending == 0) {
             this->decide(of);
         }
--- a/src/azureshore/core/time.hpp
+++ b/src/azureshore/core/time.hpp
@@ -8,6 +8,12 @@
 using duration = std::chrono::nanoseconds;
 using time_point = std::chrono::time_point<std::chrono::steady_clock, duration>;
 
+// The time now, for those who drive decisions and not for the decisions themselves.
+inline time_point steady_now()
+{
+    return std::chrono::steady_clock::now();
+}
+
 // Milliseconds with a fraction, for logs and metrics.
 inline double to_milliseconds(duration span)
 {
--- a/src/azureshore/daemon/entry_daemon.cpp
+++ b/src/azureshore/daemon/entry_daemon.cpp
@@ -38,11 +38,6 @@
 // A planned stop waits this long for the log to take the outcomes of keyed requests.
 constexpr std::chrono::seconds longest_settling{3};
 
-time_point clock_now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 // Numbers this run of the VM's process: a later run has a higher number.
 std::uint64_t make_incarnation()
 {
@@ -145,7 +140,7 @@
     node::node_hooks make_node_hooks()
     {
         node::node_hooks hooks;
-        hooks.clock = clock_now;
+        hooks.clock = steady_now;
         hooks.after = [this](duration delay, std::function<void()> work) {
             this->control.after(delay, std::move(work));
         };
@@ -188,7 +183,7 @@
     {
         proxy::front_hooks hooks;
         hooks.begin = [this](outcomes::incoming_request request) {
-            this->pending.add(request.number, {request.service, clock_now()});
+            this->pending.add(request.number, {request.service, steady_now()});
             this->node.begin(std::move(request));
         };
         hooks.gone = [this](request_number request) {
@@ -319,7 +314,7 @@
         this->metrics.add("azureshore_requests_total",
                           {{"service", call.service.value}, {"outcome", outcome}});
         this->metrics.observe("azureshore_request_seconds", {{"service", call.service.value}},
-                              clock_now() - call.began);
+                              steady_now() - call.began);
     }
 
     void announce() const
@@ -363,7 +358,7 @@
                 return;
             }
             const bool first = this->life.ready();
-            this->life.signalled(clock_now());
+            this->life.signalled(steady_now());
             if (first) {
                 this->watch_stop();
             }
@@ -374,14 +369,14 @@
     void hand_over()
     {
         this->node.stop();
-        this->settle_by = clock_now() + longest_settling;
-        this->life.handed_over(clock_now());
+        this->settle_by = steady_now() + longest_settling;
+        this->life.handed_over(steady_now());
     }
 
     // Tells the lifecycle what still runs, again and again until it ends the process.
     void watch_stop()
     {
-        const auto now = clock_now();
+        const auto now = steady_now();
         // A platform's log that is down must not hold up the stop for long.
         const bool settling = now < this->settle_by && !this->node.settled();
         this->life.set_in_flight(now, std::max(this->node.in_flight(), this->front.in_flight()) +
--- a/src/azureshore/daemon/gateway_daemon.cpp
+++ b/src/azureshore/daemon/gateway_daemon.cpp
@@ -37,11 +37,6 @@
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
 
-time_point clock_now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 std::int64_t wall_clock_ms()
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -59,7 +54,7 @@
           gateway(
               this->executor, this->make_settings(), this->platform.words,
               [this](const observe::decision& made) {
-                  this->log.write(clock_now(), observe::event_kind::request, made);
+                  this->log.write(steady_now(), observe::event_kind::request, made);
               },
               [this](std::uint64_t fingerprint) { this->store.tell_suspicion(fingerprint); }),
           store(this->executor, from, this->platform, this->make_store_hooks()),
@@ -167,7 +162,7 @@
 
     void write(const observe::decision& event)
     {
-        this->log.write(clock_now(), observe::event_kind::state, event);
+        this->log.write(steady_now(), observe::event_kind::state, event);
     }
 
     void share_bounds()
@@ -238,7 +233,7 @@
             return;
         }
         this->stopping = true;
-        this->stop_began = clock_now();
+        this->stop_began = steady_now();
         this->gateway.stop_keeping();
         this->store.leave();
         this->write({"stop_begins", {{"in_flight", std::to_string(this->gateway.in_flight())}}});
@@ -247,7 +242,7 @@
 
     void watch_stop()
     {
-        const auto spent = clock_now() - this->stop_began;
+        const auto spent = steady_now() - this->stop_began;
         const bool balancer_knows = spent >= balancer_lag;
         const bool last_moment = spent >= this->settings.stop_within - stop_margin;
         if (last_moment || (balancer_knows && this->gateway.in_flight() == 0)) {
--- a/src/azureshore/daemon/internal/datagram_text.cpp
+++ b/src/azureshore/daemon/internal/datagram_text.cpp
@@ -1,5 +1,6 @@
 #include "azureshore/daemon/internal/datagram_text.hpp"
 
+#include "azureshore/core/big_endian.hpp"
 #include "azureshore/wire/message.hpp"
 
 #include <zlib.h>
@@ -17,23 +18,6 @@
 constexpr std::size_t length_bytes = 4;
 constexpr std::size_t compressed_head = 1 + length_bytes;
 
-std::size_t read_length(std::string_view bytes)
-{
-    std::size_t length = 0;
-    for (const char each : bytes.substr(0, length_bytes)) {
-        length = length << 8U | static_cast<unsigned char>(each);
-    }
-    return length;
-}
-
-void write_length(std::string& to, std::size_t length)
-{
-    for (std::size_t i = length_bytes; i > 0; --i) {
-        to[i] = static_cast<char>(length & 0xffU);
-        length >>= 8U;
-    }
-}
-
 } // namespace
 
 std::string to_datagram(std::string_view message)
@@ -41,7 +25,7 @@
     if (message.size() >= least_compressed) {
         auto bound = compressBound(static_cast<uLong>(message.size()));
         std::string out(bound + compressed_head, compressed);
-        write_length(out, message.size());
+        out.replace(1, length_bytes, to_big_endian(message.size(), length_bytes));
         const auto* const from = reinterpret_cast<const Bytef*>(message.data());
         auto* const to = reinterpret_cast<Bytef*>(out.data() + compressed_head);
         if (compress2(to, &bound, from, static_cast<uLong>(message.size()), Z_BEST_SPEED) == Z_OK) {
@@ -60,7 +44,8 @@
     if (datagram.front() == plain) {
         return std::string(datagram.substr(1));
     }
-    const auto told = datagram.size() > compressed_head ? read_length(datagram.substr(1)) : 0;
+    const auto told =
+        datagram.size() > compressed_head ? from_big_endian(datagram.substr(1, length_bytes)) : 0;
     if (datagram.front() != compressed || told == 0 || told > wire::max_message_bytes) {
         return std::nullopt;
     }
--- a/src/azureshore/daemon/internal/gateway_store.cpp
+++ b/src/azureshore/daemon/internal/gateway_store.cpp
@@ -23,11 +23,6 @@
     return peers;
 }
 
-time_point clock_now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 gateway_store::gateway_store(asio::io_context& context, const settings::gateway_settings& settings,
@@ -97,7 +92,7 @@
 sharing::sharing_hooks gateway_store::sharing_hooks()
 {
     sharing::sharing_hooks made;
-    made.clock = clock_now;
+    made.clock = steady_now;
     made.after = [this](duration delay, std::function<void()> work) {
         auto later = std::make_shared<asio::steady_timer>(this->executor, delay);
         later->async_wait([later, work = std::move(work)](const asio::error_code& error) {
@@ -125,7 +120,7 @@
     };
     made.back = [this] {
         this->hooks.log({"store_back", {}});
-        this->registry.store_back(clock_now());
+        this->registry.store_back(steady_now());
     };
     made.members_changed = [this] {
         this->members_changed();
@@ -236,7 +231,7 @@
         }
     }
     this->listing = true;
-    this->registry.listed(clock_now(), all);
+    this->registry.listed(steady_now(), all);
     this->listing = false;
     this->hooks.log({"backends_listed", {{"count", std::to_string(this->registry.size())}}});
     this->hooks.backends_listed();
@@ -245,7 +240,7 @@
 bool gateway_store::take_registration(const platform::keyed_record& record)
 {
     if (!record.value) {
-        return this->registry.unregistered(clock_now(), backend_id{record.key});
+        return this->registry.unregistered(steady_now(), backend_id{record.key});
     }
     const auto read = this->platform.read_registration(record);
     if (!read.ok()) {
@@ -265,7 +260,7 @@
 
 void gateway_store::tick()
 {
-    this->registry.tick(clock_now());
+    this->registry.tick(steady_now());
     this->timer.expires_after(tick_interval);
     this->timer.async_wait([this](const asio::error_code& error) {
         if (!error) {
--- a/src/azureshore/gateway/gateway.cpp
+++ b/src/azureshore/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include "azureshore/gateway/backend_pool.hpp"
 #include "azureshore/gateway/http_port.hpp"
 #include "azureshore/gateway/internal/request_times.hpp"
+#include "azureshore/observe/metrics.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -64,18 +65,15 @@
     [[nodiscard]] std::string metrics() const
     {
         const auto counted = this->decisions.counts();
-        std::string text;
-        const auto add = [&](const char* name, std::uint64_t value) {
-            text.append("# TYPE ").append(name).append(" counter\n");
-            text.append(name).append(" ").append(std::to_string(value)).append("\n");
-        };
-        add("azureshore_requests_total", counted.requests);
-        add("azureshore_answers_total", counted.answered);
-        add("azureshore_refusals_total", counted.refused);
-        add("azureshore_attempts_total", counted.attempts);
-        add("azureshore_second_sends_total", counted.second_sends);
-        add("azureshore_probes_total", counted.probes);
-        add("azureshore_backend_connections_opened_total", this->pool.opened());
+        observe::metrics counters;
+        counters.add("azureshore_requests_total", {}, counted.requests);
+        counters.add("azureshore_answers_total", {}, counted.answered);
+        counters.add("azureshore_refusals_total", {}, counted.refused);
+        counters.add("azureshore_attempts_total", {}, counted.attempts);
+        counters.add("azureshore_second_sends_total", {}, counted.second_sends);
+        counters.add("azureshore_probes_total", {}, counted.probes);
+        counters.add("azureshore_backend_connections_opened_total", {}, this->pool.opened());
+        auto text = counters.to_text();
         this->times.write(text);
         return text;
     }
@@ -96,9 +94,7 @@
                                          std::function<void(std::uint64_t)> suspected)
     {
         balance::dispatcher_hooks hooks;
-        hooks.clock = [] {
-            return time_point(std::chrono::steady_clock::now());
-        };
+        hooks.clock = steady_now;
         hooks.after = [this](duration delay, std::function<void()> work) {
             this->after(delay, std::move(work));
         };
@@ -169,7 +165,7 @@
         arrived.host = net::find_field(request.fields, "Host");
         arrived.path = request.target.substr(0, request.target.find('?'));
         arrived.fingerprint = fingerprint_of(request);
-        arrived.arrived = time_point(std::chrono::steady_clock::now());
+        arrived.arrived = steady_now();
         const auto patience =
             net::parse_number(net::find_field(request.fields, this->words.deadline_ms));
         if (patience) {
--- a/src/azureshore/gateway/internal/request_times.cpp
+++ b/src/azureshore/gateway/internal/request_times.cpp
@@ -29,9 +29,9 @@
     for (const auto& [key, each] : this->all) {
         const auto& [service, idempotent, outcome] = key;
         (each.*of).write(out, name,
-                         "service=\"" + service + "\",kind=\"" +
-                             (idempotent ? "idempotent" : "other") + "\",outcome=\"" +
-                             std::string(outcome) + '"');
+                         {{"service", service},
+                          {"kind", idempotent ? "idempotent" : "other"},
+                          {"outcome", std::string(outcome)}});
     }
 }
 
--- a/src/azureshore/observe/latency_histogram.cpp
+++ b/src/azureshore/observe/latency_histogram.cpp
@@ -20,22 +20,25 @@
     this->sum += span;
 }
 
-void latency_histogram::write(std::string& out, const std::string& name,
-                              const std::string& labels) const
+void latency_histogram::write(std::string& out, const std::string& name, const labels& of) const
 {
-    const std::string more = labels.empty() ? "" : labels + ',';
-    const std::string all = labels.empty() ? "" : '{' + labels + '}';
     std::ostringstream text;
     std::uint64_t so_far = 0;
+    const auto write_bucket = [&](const std::string& bound, std::uint64_t count) {
+        so_far += count;
+        auto with_bound = of;
+        with_bound.push_back({"le", bound});
+        text << name << "_bucket" << written(with_bound) << ' ' << so_far << '\n';
+    };
     for (std::size_t i = 0; i < bounds_ms.size(); ++i) {
-        so_far += this->counts.at(i);
-        text << name << "_bucket{" << more << "le=\"" << bounds_ms.at(i) / milliseconds_per_second
-             << "\"} " << so_far << '\n';
+        std::ostringstream seconds;
+        seconds << bounds_ms.at(i) / milliseconds_per_second;
+        write_bucket(seconds.str(), this->counts.at(i));
     }
-    so_far += this->counts.back();
-    text << name << "_bucket{" << more << "le=\"+Inf\"} " << so_far << '\n'
-         << name << "_sum" << all << ' ' << std::chrono::duration<double>(this->sum).count() << '\n'
-         << name << "_count" << all << ' ' << so_far << '\n';
+    write_bucket("+Inf", this->counts.back());
+    text << name << "_sum" << written(of) << ' ' << std::chrono::duration<double>(this->sum).count()
+         << '\n'
+         << name << "_count" << written(of) << ' ' << so_far << '\n';
     out += text.str();
 }
 
--- a/src/azureshore/observe/latency_histogram.hpp
+++ b/src/azureshore/observe/latency_histogram.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "azureshore/core/time.hpp"
+#include "azureshore/observe/labels.hpp"
 
 #include <array>
 #include <cstdint>
@@ -13,9 +14,8 @@
 public:
     void add(duration span);
 
-    // Appends the samples in Prometheus' text format; `labels` is empty or a list such as
-    // service="a",kind="b". The line with the type is the caller's.
-    void write(std::string& out, const std::string& name, const std::string& labels) const;
+    // Appends the samples in Prometheus' text format. The line with the type is the caller's.
+    void write(std::string& out, const std::string& name, const labels& of) const;
 
 private:
     // Upper bounds in milliseconds: from the hop to a backend server to the longest time-outs.
--- a/src/azureshore/observe/metrics.cpp
+++ b/src/azureshore/observe/metrics.cpp
@@ -54,35 +54,6 @@
     return "untyped";
 }
 
-std::string escaped(std::string_view value)
-{
-    std::string out;
-    for (const char each : value) {
-        if (each == '\\' || each == '"') {
-            out += '\\';
-        }
-        if (each == '\n') {
-            out += "\\n";
-            continue;
-        }
-        out += each;
-    }
-    return out;
-}
-
-std::string written(const labels& of)
-{
-    if (of.empty()) {
-        return {};
-    }
-    std::string out = "{";
-    for (const auto& each : of) {
-        out += out.size() == 1 ? "" : ",";
-        out += each.name + "=\"" + escaped(each.value) + '"';
-    }
-    return out + '}';
-}
-
 std::string written_quantile(labels of, double quantile)
 {
     std::ostringstream text;
--- a/src/azureshore/observe/metrics.hpp
+++ b/src/azureshore/observe/metrics.hpp
@@ -1,25 +1,15 @@
 #pragma once
 
 #include "azureshore/core/time.hpp"
+#include "azureshore/observe/labels.hpp"
 
 #include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace azureshore::observe {
 
-// One label of a metric.
-struct label {
-    std::string name;
-    std::string value;
-
-    auto operator<=>(const label&) const = default;
-};
-
-using labels = std::vector<label>;
-
 // The process's metrics. Each series has its own lock, so that a scrape holds up no request.
 class metrics {
 public:
--- a/src/azureshore/sharing/internal/reading.cpp
+++ b/src/azureshore/sharing/internal/reading.cpp
@@ -85,19 +85,19 @@
     this->read_succeeded(from, began);
     const bool news =
         from.kind == wire::shared_topic::registrations || !from.rounds.back().records.empty();
-    if (this->reads_for_all()) {
+    auto& operators = this->topic(wire::shared_topic::operators);
+    if (!this->reads_for_all()) {
+        this->operators_untold = this->operators_untold || (news && &from == &operators);
+    }
+    else {
         // A daemon that takes over finds out with its second read that it reads for all.
-        auto& operators = this->topic(wire::shared_topic::operators);
-        if (&from != &operators && std::exchange(operators.untold, false)) {
+        if (&from != &operators && std::exchange(this->operators_untold, false)) {
             this->tell_news(operators);
         }
         if (news) {
             this->tell_news(from);
         }
     }
-    else {
-        from.untold = from.untold || news;
-    }
     if (std::exchange(from.again, false)) {
         this->read(from, std::chrono::milliseconds(0));
         return;
--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -44,8 +44,6 @@
         bool failed = false;
         // Another daemon knows more than this one.
         bool behind = false;
-        // Records were read that no other daemon was told of.
-        bool untold = false;
         std::deque<round> rounds{};
         // The newest record of each key, for daemons that start.
         std::map<std::string, wire::shared_record> newest{};
@@ -101,6 +99,8 @@
     std::array<followed_topic, 2> topics;
     bool leaving = false;
     bool away = false;
+    // Records of the operators were read that no other daemon was told of.
+    bool operators_untold = false;
     // The best-ranked daemon whose news were heard, and when.
     std::optional<vm_id> reader;
     time_point reader_heard;
--- a/src/azureshore/wire/internal/listener.cpp
+++ b/src/azureshore/wire/internal/listener.cpp
@@ -1,5 +1,6 @@
 #include "azureshore/wire/internal/listener.hpp"
 
+#include "azureshore/core/big_endian.hpp"
 #include "azureshore/core/failure.hpp"
 #include "azureshore/wire/internal/peer.hpp"
 #include "azureshore/wire/transport.hpp"
@@ -54,7 +55,7 @@
         asio::async_read(
             this->socket, asio::buffer(this->head),
             [self = this->shared_from_this()](const asio::error_code& error, std::size_t) {
-                const auto bytes = announced_bytes(self->head);
+                const auto bytes = from_big_endian(self->head);
                 if (!error && bytes <= max_carried_bytes) {
                     self->read_body(bytes);
                 }
@@ -78,7 +79,7 @@
     listener& owner;
     std::shared_ptr<std::size_t> open_connections;
     tcp::socket socket;
-    frame_head head{};
+    std::string head = std::string(frame_head_bytes, '\0');
     std::string body;
 };
 
--- a/src/azureshore/wire/internal/peer.cpp
+++ b/src/azureshore/wire/internal/peer.cpp
@@ -1,11 +1,14 @@
 #include "azureshore/wire/internal/peer.hpp"
 
+#include "azureshore/core/big_endian.hpp"
+
 #include <asio/buffer.hpp>
 #include <asio/connect.hpp>
 #include <asio/post.hpp>
 #include <asio/write.hpp>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace azureshore::wire::detail {
@@ -22,35 +25,8 @@
 // An attempt to connect is given up after this long: longer than a handshake with one packet lost.
 constexpr duration connect_patience = std::chrono::seconds(2);
 
-constexpr unsigned bits_per_byte = 8;
-constexpr std::size_t byte_mask = 0xff;
-
-time_point now_on_this_machine()
-{
-    return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
-frame_head make_frame_head(std::size_t bytes)
-{
-    frame_head made{};
-    for (std::size_t place = frame_head_bytes; place > 0; --place) {
-        made[place - 1] = static_cast<unsigned char>(bytes & byte_mask);
-        bytes >>= bits_per_byte;
-    }
-    return made;
-}
-
-std::size_t announced_bytes(const frame_head& head)
-{
-    std::size_t bytes = 0;
-    for (const auto each : head) {
-        bytes = (bytes << bits_per_byte) | each;
-    }
-    return bytes;
-}
-
 peer::peer(asio::io_context& on, address to, peer_counts& shared_counts)
     : executor(on), target(std::move(to)), counts(shared_counts), resolver(on), socket(on),
       timer(on), reconnect_pause(min_reconnect_pause)
@@ -64,7 +40,7 @@
 
 void peer::send(std::string bytes)
 {
-    const auto now = now_on_this_machine();
+    const auto now = steady_now();
     {
         const std::lock_guard lock(this->mutex);
         this->drop_stale(now);
@@ -108,7 +84,7 @@
 bool peer::take_next()
 {
     const std::lock_guard lock(this->mutex);
-    this->drop_stale(now_on_this_machine());
+    this->drop_stale(steady_now());
     if (this->closed || this->queue.empty()) {
         this->busy = false;
         return false;
@@ -133,7 +109,7 @@
 {
     {
         const std::lock_guard lock(this->mutex);
-        this->drop_stale(now_on_this_machine());
+        this->drop_stale(steady_now());
         if (this->closed || this->queue.empty()) {
             this->busy = false;
             return;
@@ -186,7 +162,7 @@
 void peer::write()
 {
     this->after(max_queue_age, [this] { this->disconnect(); });
-    this->head = make_frame_head(this->current.bytes.size());
+    this->head = to_big_endian(this->current.bytes.size(), frame_head_bytes);
     const std::array<asio::const_buffer, 2> parts{asio::buffer(this->head),
                                                   asio::buffer(this->current.bytes)};
     asio::async_write(this->socket, parts,
--- a/src/azureshore/wire/internal/peer.hpp
+++ b/src/azureshore/wire/internal/peer.hpp
@@ -7,7 +7,6 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 
-#include <array>
 #include <atomic>
 #include <cstdint>
 #include <deque>
@@ -27,13 +26,6 @@
 
 // Bytes before each message: its length, the highest byte first.
 constexpr std::size_t frame_head_bytes = 4;
-using frame_head = std::array<unsigned char, frame_head_bytes>;
-
-// The head for a message of this many bytes.
-frame_head make_frame_head(std::size_t bytes);
-
-// How many bytes the message has that this head announces.
-std::size_t announced_bytes(const frame_head& head);
 
 // What all peers of one transport count together.
 struct peer_counts {
@@ -88,7 +80,7 @@
     // Tells the connection in use from earlier ones, whose handlers may still come.
     std::uint64_t connection = 0;
     bool established = false;
-    frame_head head{};
+    std::string head;
     queued current;
     std::mutex mutex;
     std::deque<queued> queue;
--- a/src/azureshorectl/main.cpp
+++ b/src/azureshorectl/main.cpp
@@ -74,11 +74,6 @@
     };
 }
 
-time_point steady_now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 // Runs the executor until the condition holds or the moment is there.
 bool run_until(asio::io_context& executor, const std::function<bool()>& condition, time_point until)
 {
--- a/tests/balance/dispatcher_schedule_tests.cpp
+++ b/tests/balance/dispatcher_schedule_tests.cpp
@@ -2,11 +2,11 @@
 // leave and come back, against an oracle that sees what ran where.
 
 #include "balance/dispatch_world.hpp"
+#include "support/environment.hpp"
 
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
-#include <cstdlib>
 
 using namespace azureshore;
 using namespace azureshore::balance;
@@ -359,12 +359,6 @@
     std::uint64_t sequence = 100;
 };
 
-std::uint64_t number_from(const char* variable, std::uint64_t otherwise)
-{
-    const char* text = std::getenv(variable);
-    return text == nullptr ? otherwise : std::stoull(text);
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(dispatcher_schedules)
@@ -376,8 +370,8 @@
 #else
     constexpr std::uint64_t usual_schedules = 3000;
 #endif
-    const auto schedules = number_from("AZURESHORE_SCHEDULES", usual_schedules);
-    const auto first = number_from("AZURESHORE_SEED", 1);
+    const auto schedules = test_support::number_from("AZURESHORE_SCHEDULES", usual_schedules);
+    const auto first = test_support::number_from("AZURESHORE_SEED", 1);
     for (auto seed = first; seed < first + schedules; ++seed) {
         const auto verdict = schedule(seed).run();
         BOOST_TEST(verdict.empty(), "AZURESHORE_SEED=" << seed << ": " << verdict);
--- a/tests/configuration/fuzz_tests.cpp
+++ b/tests/configuration/fuzz_tests.cpp
@@ -1,11 +1,11 @@
 #include "azureshore/configuration/fold.hpp"
 #include "azureshore/configuration/tree_text.hpp"
 #include "support/configuration_cluster.hpp"
+#include "support/environment.hpp"
 
 #include <boost/test/unit_test.hpp>
 
 #include <array>
-#include <cstdlib>
 #include <map>
 #include <set>
 #include <sstream>
@@ -343,12 +343,6 @@
     std::map<const test::configuration_vm*, std::pair<unsigned, std::uint64_t>> checked;
 };
 
-std::uint64_t from_environment(const char* name, std::uint64_t fallback)
-{
-    const char* text = std::getenv(name);
-    return text == nullptr ? fallback : std::stoull(text);
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(fuzz)
@@ -356,8 +350,8 @@
 // AZURESHORE_SCHEDULES sets the number of schedules, AZURESHORE_SEED the first seed.
 BOOST_AUTO_TEST_CASE(random_schedules_keep_what_operators_were_promised)
 {
-    const auto schedules = from_environment("AZURESHORE_SCHEDULES", schedules_by_default);
-    const auto first_seed = from_environment("AZURESHORE_SEED", 1);
+    const auto schedules = test_support::number_from("AZURESHORE_SCHEDULES", schedules_by_default);
+    const auto first_seed = test_support::number_from("AZURESHORE_SEED", 1);
     BOOST_TEST_MESSAGE("seeds " << first_seed << " to " << first_seed + schedules - 1);
     std::size_t shown = 0;
     constexpr std::size_t most_shown = 5;
--- a/tests/deployment/caller.cpp
+++ b/tests/deployment/caller.cpp
@@ -17,11 +17,6 @@
 constexpr std::size_t buffer_bytes = 16UL * 1024UL;
 constexpr std::size_t most_body_bytes = 1024UL * 1024UL;
 
-time_point clock_now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 http1::request make_request(const std::string& id, const std::string& target, bool idempotent,
@@ -40,7 +35,7 @@
 bool caller::finish(const bool& ended, time_point until)
 {
     this->executor.restart();
-    while (!ended && clock_now() < until) {
+    while (!ended && steady_now() < until) {
         this->executor.run_one_until(until);
     }
     if (!ended) {
@@ -63,7 +58,7 @@
 std::optional<http1::response> caller::ask(const address& to, const http1::request& request,
                                            duration patience)
 {
-    const auto until = clock_now() + patience;
+    const auto until = steady_now() + patience;
     asio::error_code failed;
     bool ended = false;
     const auto note_end = [&](const asio::error_code& error, auto...) {
--- a/tests/deployment/local_backend.cpp
+++ b/tests/deployment/local_backend.cpp
@@ -11,11 +11,6 @@
 constexpr std::size_t most_waiting = 4;
 constexpr std::string_view health_path = "/health";
 
-time_point clock_now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 std::int64_t wall_clock_ms()
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -58,7 +53,7 @@
 
 bool local_backend::down() const
 {
-    return clock_now() < this->up_at;
+    return steady_now() < this->up_at;
 }
 
 std::optional<std::string> local_backend::registration()
@@ -67,7 +62,7 @@
     if (this->down()) {
         return std::nullopt;
     }
-    const auto cold = std::max(duration::zero(), duration(this->cold_until - clock_now()));
+    const auto cold = std::max(duration::zero(), duration(this->cold_until - steady_now()));
     return nlohmann::json{
         {"address", to_string(this->proxy.where())},
         {"born", this->born_ms},
@@ -94,7 +89,7 @@
         this->draining = false;
         this->forbidden_from.reset();
         this->hanging = false;
-        this->up_at = clock_now() + away;
+        this->up_at = steady_now() + away;
         this->cold_until = this->up_at + cold_for;
         this->born_ms = wall_clock_ms();
         this->arrivals.clear();
@@ -107,7 +102,7 @@
 void local_backend::turn_cold(duration cold_for)
 {
     const std::lock_guard hold(this->lock);
-    this->cold_until = clock_now() + cold_for;
+    this->cold_until = steady_now() + cold_for;
 }
 
 void local_backend::drain()
@@ -127,7 +122,7 @@
     {
         const std::lock_guard hold(this->lock);
         this->link_passes = now == test_support::link_state::passing;
-        this->link_changed_at = clock_now();
+        this->link_changed_at = steady_now();
     }
     this->proxy.set(now, delay);
 }
@@ -149,8 +144,8 @@
     net::http_answer answer;
     answer.status = this->draining ? 503 : 200;
     answer.headers = {{"X-Instance-Id", this->instance}, {"X-Backend-Load", this->load()}};
-    if (this->cold_until > clock_now()) {
-        const auto left = this->cold_until - clock_now();
+    if (this->cold_until > steady_now()) {
+        const auto left = this->cold_until - steady_now();
         answer.headers.push_back(
             {"X-Cold-Ms",
              std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(left).count())});
@@ -160,7 +155,7 @@
 
 void local_backend::note_arrival()
 {
-    const auto now = clock_now();
+    const auto now = steady_now();
     if (this->forbidden_from && now > *this->forbidden_from) {
         this->watch.blame(this->instance + " left and got a request " +
                           std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -218,7 +213,7 @@
 {
     ++this->running;
     this->watch.runs(std::string(next.call.header("X-Request-Id")), next.call.target);
-    const bool cold = this->cold_until > clock_now();
+    const bool cold = this->cold_until > steady_now();
     this->timers.after(cold ? 3 * this->work_time : this->work_time,
                        [this, next, in = this->life] { this->finish(next, in); });
 }
--- a/tests/deployment/local_deployment.cpp
+++ b/tests/deployment/local_deployment.cpp
@@ -31,19 +31,6 @@
     return probe.local_endpoint().port();
 }
 
-std::string new_folder(const std::string& wanted)
-{
-    if (!wanted.empty()) {
-        std::filesystem::create_directories(wanted);
-        return wanted;
-    }
-    std::string pattern = std::filesystem::temp_directory_path() / "azureshore-XXXXXX";
-    if (mkdtemp(pattern.data()) == nullptr) {
-        throw std::runtime_error("no folder for settings");
-    }
-    return pattern;
-}
-
 // Addresses of loopback that other runs at the same time do not use.
 std::string subnet_of_this_process()
 {
@@ -71,7 +58,7 @@
             [this](duration span, std::function<void()> action) {
                 this->timers.after(span, std::move(action));
             }),
-      folder(new_folder(plan.folder)), watch(watched_by), slots(plan.slots), work_time(plan.work),
+      folder(plan.folder), watch(watched_by), slots(plan.slots), work_time(plan.work),
       subnet(subnet_of_this_process())
 {
     const auto first = this->subnet + '1';
@@ -98,7 +85,7 @@
         made.data_centre = this->zones[i % this->zones.size()];
         made.host = this->subnet + std::to_string(i + 1);
         made.callers = {made.host, this->callers_port};
-        made.settings_file = this->folder + '/' + made.name + ".toml";
+        made.settings_file = this->folder.file(made.name + ".toml");
         made.to_store = std::make_unique<test_support::loopback_proxy>(
             this->executor, address{"127.0.0.1", this->store_server->port()});
     }
@@ -148,7 +135,7 @@
 {
     vm.process.emplace(daemon_program,
                        std::vector<std::string>{"--gateway", "--settings", vm.settings_file},
-                       this->folder + '/' + vm.name + ".log");
+                       this->folder.file(vm.name + ".log"));
 }
 
 local_backend& local_deployment::add_backend()
--- a/tests/deployment/local_deployment.hpp
+++ b/tests/deployment/local_deployment.hpp
@@ -5,6 +5,7 @@
 #include "deployment/local_backend.hpp"
 #include "keyed_store.hpp"
 #include "processes/child_process.hpp"
+#include "processes/test_folder.hpp"
 #include "run.hpp"
 #include "support/loopback_proxy.hpp"
 
@@ -89,7 +90,7 @@
     std::deque<std::unique_ptr<local_backend>> backends;
     standin::delays timers;
     standin::keyed_store store;
-    const std::string folder;
+    const test_folder folder;
 
 private:
     judge& watch;
--- a/tests/membership/member_fuzz_tests.cpp
+++ b/tests/membership/member_fuzz_tests.cpp
@@ -1,8 +1,8 @@
+#include "support/environment.hpp"
 #include "support/member_network.hpp"
 
 #include <boost/test/unit_test.hpp>
 
-#include <cstdlib>
 #include <mutex>
 #include <sstream>
 #include <thread>
@@ -26,8 +26,7 @@
 
 std::uint64_t schedule_count()
 {
-    const char* text = std::getenv("AZURESHORE_SCHEDULES");
-    return text == nullptr ? default_schedules : std::strtoull(text, nullptr, 10);
+    return test_support::number_from("AZURESHORE_SCHEDULES", default_schedules);
 }
 
 // One random schedule and the promises checked on it.
--- a/tests/node/whole_schedule_tests.cpp
+++ b/tests/node/whole_schedule_tests.cpp
@@ -1,8 +1,8 @@
 #include "node/world.hpp"
+#include "support/environment.hpp"
 
 #include <boost/test/unit_test.hpp>
 
-#include <cstdlib>
 #include <iostream>
 #include <string>
 
@@ -17,13 +17,6 @@
 constexpr std::size_t backend_count = 6;
 constexpr int steps = 120;
 
-std::uint64_t number_from(const char* variable, std::uint64_t fallback)
-{
-    // NOLINTNEXTLINE(concurrency-mt-unsafe): read before any thread is started
-    const char* text = std::getenv(variable);
-    return text == nullptr ? fallback : std::stoull(text);
-}
-
 // One random event: mostly requests, now and then a fault or its end.
 void step(world& around, const random_source& random)
 {
@@ -124,8 +117,8 @@
 // AZURESHORE_SCHEDULES sets how many; AZURESHORE_SEED runs that one alone and tells its story.
 BOOST_AUTO_TEST_CASE(no_schedule_of_faults_breaks_a_promise)
 {
-    const auto only = number_from("AZURESHORE_SEED", 0);
-    const auto count = number_from("AZURESHORE_SCHEDULES", default_schedules);
+    const auto only = test_support::number_from("AZURESHORE_SEED", 0);
+    const auto count = test_support::number_from("AZURESHORE_SCHEDULES", default_schedules);
     const auto first = only == 0 ? 1 : only;
     const auto last = only == 0 ? count : only;
     for (auto seed = first; seed <= last; ++seed) {
--- a/tests/observe/metrics_tests.cpp
+++ b/tests/observe/metrics_tests.cpp
@@ -53,7 +53,7 @@
     spans.add(milliseconds(3));
     spans.add(seconds(60));
     std::string text;
-    spans.write(text, "x_seconds", "service=\"a\"");
+    spans.write(text, "x_seconds", {{"service", "a"}});
     for (const std::string line :
          {"x_seconds_bucket{service=\"a\",le=\"0.001\"} 1\n",
           "x_seconds_bucket{service=\"a\",le=\"0.002\"} 1\n",
@@ -64,7 +64,10 @@
         BOOST_TEST(text.find(line) != std::string::npos, line);
     }
     text.clear();
-    spans.write(text, "x_seconds", "");
+    spans.write(text, "x_seconds", {{"service", "a\"b"}});
+    BOOST_TEST(text.find("x_seconds_count{service=\"a\\\"b\"} 3\n") != std::string::npos);
+    text.clear();
+    spans.write(text, "x_seconds", {});
     BOOST_TEST(text.find("x_seconds_bucket{le=\"+Inf\"} 3\n") != std::string::npos);
     BOOST_TEST(text.find("x_seconds_count 3\n") != std::string::npos);
 }
--- a/tests/outcomes/schedules_tests.cpp
+++ b/tests/outcomes/schedules_tests.cpp
@@ -1,4 +1,5 @@
 #include "outcomes/cluster.hpp"
+#include "support/environment.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -22,12 +23,6 @@
 constexpr duration order_time = 4s;
 constexpr duration short_retention = 7s;
 
-std::uint64_t number_from(const char* variable, std::uint64_t otherwise)
-{
-    const char* text = std::getenv(variable);
-    return text == nullptr ? otherwise : std::stoull(text);
-}
-
 // Draws a schedule from a seed: how many VMs, which faults, who sends what and when.
 class schedule {
 public:
@@ -210,8 +205,8 @@
 
 BOOST_AUTO_TEST_CASE(no_schedule_breaks_a_promise)
 {
-    const auto count = number_from("AZURESHORE_SCHEDULES", default_schedules);
-    const auto first = number_from("AZURESHORE_SEED", default_first_seed);
+    const auto count = test_support::number_from("AZURESHORE_SCHEDULES", default_schedules);
+    const auto first = test_support::number_from("AZURESHORE_SEED", default_first_seed);
     std::map<std::string, unsigned> words;
     unsigned red = 0;
     for (auto seed = first; seed < first + count && red < 5; ++seed) {
--- a/tests/processes/whole_path.cpp
+++ b/tests/processes/whole_path.cpp
@@ -2,10 +2,7 @@
 
 #include "processes/http_calls.hpp"
 
-#include <unistd.h>
-
 #include <algorithm>
-#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
@@ -53,11 +50,6 @@
 
 whole_path::whole_path(const path_plan& plan)
 {
-    std::string pattern = std::filesystem::temp_directory_path() / "azureshore-XXXXXX";
-    if (mkdtemp(pattern.data()) == nullptr) {
-        throw std::runtime_error("no folder for settings");
-    }
-    this->folder = pattern;
     this->log_process = start_service("log", this->log);
     this->list_process = start_service("vm-list", this->vm_list);
     for (const auto& [service, count] : plan.services) {
@@ -74,11 +66,7 @@
     this->wait_ready();
 }
 
-whole_path::~whole_path()
-{
-    std::error_code ignored;
-    std::filesystem::remove_all(this->folder, ignored);
-}
+whole_path::~whole_path() = default;
 
 entry_vm& whole_path::start_entry(const std::string& name, const std::string& data_centre)
 {
@@ -90,7 +78,7 @@
          << to_string(this->vm_list) << "\"\nvm_list_interval = 100\n"
          << "[peers]\nkeys = [\"" << std::string(64, 'a')
          << "\"]\n[stop]\ndrain = 300\nwithin = 20000\n";
-    const auto file = this->folder + '/' + name + ".toml";
+    const auto file = this->folder.file(name + ".toml");
     write_file(file, text.str());
     child_process process(daemon, {"--settings", file});
     const auto line = process.wait_for_line("listening");
@@ -129,7 +117,7 @@
 
 void whole_path::publish(const std::string& text) const
 {
-    const auto file = this->folder + "/tree.toml";
+    const auto file = this->folder.file("tree.toml");
     write_file(file, text);
     const auto applied = this->control({"config", "apply", file});
     if (applied.status != 0) {
--- a/tests/processes/whole_path.hpp
+++ b/tests/processes/whole_path.hpp
@@ -2,6 +2,7 @@
 
 #include "azureshore/core/address.hpp"
 #include "processes/child_process.hpp"
+#include "processes/test_folder.hpp"
 
 #include <deque>
 #include <map>
@@ -81,7 +82,7 @@
 
     std::unique_ptr<child_process> log_process;
     std::unique_ptr<child_process> list_process;
-    std::string folder;
+    test_folder folder;
 };
 
 } // namespace azureshore::testing
--- a/tests/routing/permit_schedule_tests.cpp
+++ b/tests/routing/permit_schedule_tests.cpp
@@ -1,12 +1,12 @@
 // Random schedules of requests, lost, doubled and late messages, pauses, kills, restarts and
 // wrong lists, against an oracle that counts what runs where.
 
+#include "support/environment.hpp"
 #include "support/routing_cluster.hpp"
 
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
-#include <cstdlib>
 #include <mutex>
 #include <thread>
 
@@ -187,12 +187,6 @@
     cluster service;
 };
 
-std::uint64_t number_from(const char* variable, std::uint64_t otherwise)
-{
-    const char* text = std::getenv(variable);
-    return text == nullptr ? otherwise : std::stoull(text);
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(permit_schedules)
@@ -205,8 +199,8 @@
     constexpr std::uint64_t usual_schedules = 20000;
 #endif
     constexpr unsigned threads = 4;
-    const auto schedules = number_from("AZURESHORE_SCHEDULES", usual_schedules);
-    const auto first = number_from("AZURESHORE_SEED", 1);
+    const auto schedules = test_support::number_from("AZURESHORE_SCHEDULES", usual_schedules);
+    const auto first = test_support::number_from("AZURESHORE_SEED", 1);
     std::atomic<std::uint64_t> next{first};
     std::mutex lock;
     std::vector<std::string> faults;
--- a/tests/sharing/store_sharing_tests.cpp
+++ b/tests/sharing/store_sharing_tests.cpp
@@ -1,9 +1,8 @@
 #include "sharing/sharing_cluster.hpp"
+#include "support/environment.hpp"
 
 #include <boost/test/unit_test.hpp>
 
-#include <cstdlib>
-
 using namespace azureshore;
 using namespace azureshore::test;
 using namespace std::chrono_literals;
@@ -305,8 +304,7 @@
 // throughout must know each change within the bound.
 BOOST_AUTO_TEST_CASE(every_change_is_known_within_the_bound_over_random_schedules)
 {
-    const char* const wanted = std::getenv("AZURESHORE_SCHEDULES");
-    const std::uint64_t schedules = wanted == nullptr ? 60 : std::strtoull(wanted, nullptr, 10);
+    const auto schedules = test_support::number_from("AZURESHORE_SCHEDULES", 60);
     for (std::uint64_t seed = 0; seed < schedules; ++seed) {
         auto cluster = settled_cluster(few, seed);
         cluster->loss = 0.05;
--- a/tests/soak/gateway_process_tests.cpp
+++ b/tests/soak/gateway_process_tests.cpp
@@ -53,7 +53,7 @@
     [[nodiscard]] std::string log_of(const gateway_vm& vm) const
     {
         std::ostringstream text;
-        text << std::ifstream(this->place.folder + '/' + vm.name + ".log").rdbuf();
+        text << std::ifstream(this->place.folder.file(vm.name + ".log")).rdbuf();
         return text.str();
     }
 };
--- a/tests/soak/soak_tests.cpp
+++ b/tests/soak/soak_tests.cpp
@@ -4,6 +4,7 @@
 #include "deployment/caller.hpp"
 #include "deployment/local_deployment.hpp"
 #include "soak/trouble.hpp"
+#include "support/environment.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -31,11 +32,6 @@
 constexpr int status_not_found = 404;
 constexpr int status_overloaded = 503;
 
-time_point clock_now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 // Few slots make gateways refuse, many leave them idle.
 unsigned slots_of(std::uint64_t seed)
 {
@@ -104,14 +100,14 @@
     {
         const auto id = std::string(net::find_field(request.fields, "X-Request-Id"));
         this->watch.sent(id, request.method == "GET", request.target);
-        const auto began = clock_now();
+        const auto began = steady_now();
         const auto answer = self.ask(vm.callers, request, deadline + answer_slack);
         if (answer) {
             const bool is_signed = !net::find_field(answer->fields, "X-Server-Signature").empty();
             this->watch.answered(id, answer->status, is_signed, answer->body);
             return answer->status;
         }
-        const bool waited = clock_now() - began >= deadline + answer_slack;
+        const bool waited = steady_now() - began >= deadline + answer_slack;
         if (waited && !this->faults.disturbed(vm, began)) {
             this->watch.blame(id + " was left without an answer by " + vm.name);
         }
@@ -127,11 +123,11 @@
 
     void check_recovery()
     {
-        const auto until = clock_now() + recovery_bound;
+        const auto until = steady_now() + recovery_bound;
         constexpr int wanted = 30;
         for (const auto& vm : this->place.gateways) {
             int served = 0;
-            while (served < wanted && clock_now() < until) {
+            while (served < wanted && steady_now() < until) {
                 // One that is refused says that there is no room, and not that anything is broken.
                 const auto status = this->ask_once(vm, "/plates/");
                 served = status == status_ok           ? served + 1
@@ -157,11 +153,11 @@
         auto& leaving = *this->place.backends.front();
         leaving.drain();
         this->place.heartbeat();
-        leaving.forbid_from(clock_now() + drain_bound);
+        leaving.forbid_from(steady_now() + drain_bound);
         this->place.set_out_of_service(out, true);
         for (const auto& each : this->place.backends) {
             if (each->data_centre() == out) {
-                each->forbid_from(clock_now() + out_of_service_bound);
+                each->forbid_from(steady_now() + out_of_service_bound);
             }
         }
         this->faults.pass(configuration_bound);
@@ -187,12 +183,6 @@
     std::size_t checks = 0;
 };
 
-std::uint64_t number_from(const char* variable, std::uint64_t otherwise)
-{
-    const char* text = std::getenv(variable);
-    return text == nullptr ? otherwise : std::stoull(text);
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(soak_of_gateways)
@@ -201,9 +191,9 @@
 // each, and AZURESHORE_SOAK_FOLDER keeps the logs.
 BOOST_AUTO_TEST_CASE(no_fault_from_outside_breaks_what_callers_were_told)
 {
-    const auto first = number_from("AZURESHORE_SEED", 1);
-    const auto seeds = number_from("AZURESHORE_SCHEDULES", 2);
-    const auto span = seconds(number_from("AZURESHORE_SOAK_SECONDS", 6));
+    const auto first = test_support::number_from("AZURESHORE_SEED", 1);
+    const auto seeds = test_support::number_from("AZURESHORE_SCHEDULES", 2);
+    const auto span = seconds(test_support::number_from("AZURESHORE_SOAK_SECONDS", 6));
     const char* folder = std::getenv("AZURESHORE_SOAK_FOLDER");
     for (auto seed = first; seed < first + seeds; ++seed) {
         const auto kept =
--- a/tests/soak/trouble.cpp
+++ b/tests/soak/trouble.cpp
@@ -20,15 +20,10 @@
 // A planned stop must end within the time of the settings.
 constexpr auto stop_within = seconds(6);
 
-time_point clock_now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 trouble::trouble(std::uint64_t seed, local_deployment& in, judge& watched_by)
-    : random(seeded_random(seed)), place(in), watch(watched_by), began(clock_now())
+    : random(seeded_random(seed)), place(in), watch(watched_by), began(steady_now())
 {
 }
 
@@ -45,7 +40,7 @@
 
 void trouble::note(const std::string& what)
 {
-    const auto at = std::chrono::duration_cast<milliseconds>(clock_now() - this->began);
+    const auto at = std::chrono::duration_cast<milliseconds>(steady_now() - this->began);
     this->told += "  " + std::to_string(at.count()) + " ms " + what + '\n';
 }
 
@@ -53,7 +48,7 @@
 {
     const std::lock_guard hold(this->lock);
     auto& until = this->disturbed_until[name];
-    until = std::max(until, clock_now() + span);
+    until = std::max(until, steady_now() + span);
 }
 
 void trouble::disturb_all(duration span)
@@ -72,19 +67,19 @@
 
 void trouble::later(duration span, action work)
 {
-    this->due.emplace(clock_now() + span, std::move(work));
+    this->due.emplace(steady_now() + span, std::move(work));
 }
 
 void trouble::pass(duration span)
 {
-    const auto until = clock_now() + span;
-    auto next_heartbeat = clock_now();
-    while (clock_now() < until) {
-        if (clock_now() >= next_heartbeat) {
+    const auto until = steady_now() + span;
+    auto next_heartbeat = steady_now();
+    while (steady_now() < until) {
+        if (steady_now() >= next_heartbeat) {
             this->place.heartbeat();
-            next_heartbeat = clock_now() + heartbeat_interval;
+            next_heartbeat = steady_now() + heartbeat_interval;
         }
-        while (!this->due.empty() && this->due.begin()->first <= clock_now()) {
+        while (!this->due.empty() && this->due.begin()->first <= steady_now()) {
             const auto work = std::move(this->due.begin()->second);
             this->due.erase(this->due.begin());
             work();
@@ -96,8 +91,8 @@
 
 void trouble::run(duration span)
 {
-    const auto until = clock_now() + span;
-    while (clock_now() < until) {
+    const auto until = steady_now() + span;
+    while (steady_now() < until) {
         this->draw();
         this->pass(this->between(50, 900));
     }
--- a/tools/load/load_run.cpp
+++ b/tools/load/load_run.cpp
@@ -14,16 +14,11 @@
 
 constexpr std::size_t max_answer_body = 1024UL * 1024UL;
 
-time_point now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 class load_run {
 public:
     explicit load_run(const load_plan& given)
         : plan(given), random(seeded_random(given.seed)), timer(this->executor),
-          client(this->executor), started(now())
+          client(this->executor), started(steady_now())
     {
     }
 
@@ -38,20 +33,20 @@
             }
         }
         this->executor.run();
-        this->report.length = now() - this->started;
+        this->report.length = steady_now() - this->started;
         return std::move(this->report);
     }
 
 private:
     [[nodiscard]] bool over() const
     {
-        return now() - this->started >= this->plan.length || this->due >= this->plan.count;
+        return steady_now() - this->started >= this->plan.length || this->due >= this->plan.count;
     }
 
     // Starts what is due since the last time, so that a late timer loses nothing.
     void start_when_due()
     {
-        const std::chrono::duration<double> passed = now() - this->started;
+        const std::chrono::duration<double> passed = steady_now() - this->started;
         const auto should = static_cast<std::uint64_t>(passed.count() * this->plan.rate) + 1;
         while (this->due < should && !this->over()) {
             if (this->client.in_flight() < this->plan.connections) {
--- a/tools/standin/backend_server.cpp
+++ b/tools/standin/backend_server.cpp
@@ -24,11 +24,6 @@
 constexpr duration no_deadline = std::chrono::minutes(5);
 constexpr std::string_view crash_mark = "/crash";
 
-time_point now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 duration time_left(const net::http_call& call)
 {
     const auto given = net::parse_number(call.header("Azureshore-Deadline-Ms"));
@@ -104,7 +99,7 @@
         respond(this->answer_for(call, internal_error));
         return;
     }
-    this->waiting.push_back({call, respond, now() + time_left(call), ++this->last_job});
+    this->waiting.push_back({call, respond, steady_now() + time_left(call), ++this->last_job});
     const std::uint64_t at_once = this->present();
     this->counts.most_at_once = std::max(this->counts.most_at_once, at_once);
     if (this->cold) {
@@ -120,7 +115,7 @@
     while (!this->waiting.empty() && this->running.size() < this->plan.slots) {
         auto next = std::move(this->waiting.front());
         this->waiting.pop_front();
-        if (now() >= next.deadline) {
+        if (steady_now() >= next.deadline) {
             next.respond(this->refusal_for(next.call));
             continue;
         }
--- a/tools/standin/backend_server.hpp
+++ b/tools/standin/backend_server.hpp
@@ -3,6 +3,7 @@
 #include "azureshore/core/random.hpp"
 #include "azureshore/core/time.hpp"
 #include "azureshore/net/http_server.hpp"
+#include "service_tools.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -78,8 +79,6 @@
 // A backend server as a stand-in: it runs requests for a drawn time in a few slots.
 class backend_server {
 public:
-    // Runs a function after a delay, on any thread.
-    using delay_function = std::function<void(duration, std::function<void()>)>;
     using exit_function = std::function<void()>;
 
     // `crash` ends the process, when a request marked for it runs.
--- a/tools/standin/keyed_store.cpp
+++ b/tools/standin/keyed_store.cpp
@@ -1,5 +1,6 @@
 #include "keyed_store.hpp"
 
+#include "azureshore/core/big_endian.hpp"
 #include "http_tools.hpp"
 
 #include <absl/strings/escaping.h>
@@ -28,30 +29,6 @@
 constexpr std::size_t offset_bytes = 8;
 constexpr auto longest_wait = std::chrono::milliseconds(30'000);
 
-time_point clock_now()
-{
-    return std::chrono::steady_clock::now();
-}
-
-std::string big_endian(std::uint64_t number, std::size_t bytes)
-{
-    std::string out(bytes, '\0');
-    for (auto place = bytes; place > 0; --place) {
-        out[place - 1] = static_cast<char>(number & 0xffU);
-        number >>= 8U;
-    }
-    return out;
-}
-
-std::uint64_t number_in(std::string_view bytes)
-{
-    std::uint64_t number = 0;
-    for (const char each : bytes) {
-        number = number << 8U | static_cast<unsigned char>(each);
-    }
-    return number;
-}
-
 std::string content_of(const std::string& key, const std::optional<std::string>& value)
 {
     return std::string(1, static_cast<char>(key.size())) + key + value.value_or("");
@@ -65,24 +42,11 @@
 } // namespace
 
 keyed_store::keyed_store(store_limits bounds, delay_function delay)
-    : limits(bounds), after(std::move(delay)), writes{bounds.writes_per_second,
-                                                      bounds.writes_per_second, clock_now()},
-      reads{bounds.reads_per_second, bounds.reads_per_second, clock_now()}
+    : limits(bounds), after(std::move(delay)), writes(bounds.writes_per_second),
+      reads(bounds.reads_per_second)
 {
 }
 
-bool keyed_store::rate::take(time_point now)
-{
-    const std::chrono::duration<double> passed = now - this->at;
-    this->at = now;
-    this->tokens = std::min(this->per_second, this->tokens + passed.count() * this->per_second);
-    if (this->tokens < 1) {
-        return false;
-    }
-    this->tokens -= 1;
-    return true;
-}
-
 std::uint64_t keyed_store::topic_state::first_offset() const
 {
     return this->history.empty() ? this->next_offset : this->history.front().offset;
@@ -99,7 +63,7 @@
     if (this->faults.outage) {
         return json_answer(status_unavailable, "{}");
     }
-    if (!(writes_something ? this->writes : this->reads).take(clock_now())) {
+    if (!(writes_something ? this->writes : this->reads).take(steady_now())) {
         return json_answer(status_too_many, "{}");
     }
     return std::nullopt;
@@ -118,12 +82,7 @@
         if (this->faults.silent) {
             return;
         }
-        if (this->faults.slow > duration::zero()) {
-            respond = [delay = this->faults.slow, run = this->after,
-                       respond = std::move(respond)](net::http_answer answer) {
-                run(delay, [respond, answer = std::move(answer)] { respond(answer); });
-            };
-        }
+        respond = held_back(std::move(respond), this->faults.slow, this->after);
         if (auto refused = this->turned_away(writes_something)) {
             respond(std::move(*refused));
             return;
@@ -184,7 +143,7 @@
     std::vector<record> records;
     std::string_view rest = call.body;
     while (rest.size() >= length_bytes) {
-        const auto length = number_in(rest.substr(0, length_bytes));
+        const auto length = from_big_endian(rest.substr(0, length_bytes));
         const auto content = rest.substr(length_bytes, length);
         const std::size_t key_length =
             content.empty() ? 0 : static_cast<unsigned char>(content.front());
@@ -262,14 +221,9 @@
     if (this->faults.sleepy) {
         return woken;
     }
-    for (auto next = this->waiters.begin(); next != this->waiters.end();) {
-        if (next->topic != topic) {
-            ++next;
-            continue;
-        }
-        woken.emplace_back([respond = std::move(next->respond),
-                            answer = this->records_answer(of, next->from)] { respond(answer); });
-        next = this->waiters.erase(next);
+    for (auto& each : this->waiters.take_all(topic)) {
+        woken.emplace_back([respond = std::move(each.respond),
+                            answer = this->records_answer(of, each.from)] { respond(answer); });
     }
     return woken;
 }
@@ -280,12 +234,12 @@
         return json_answer(status_gone, nlohmann::json{{"first_offset", of.first_offset()}}.dump());
     }
     net::http_answer answer;
-    answer.body =
-        big_endian(of.next_offset, offset_bytes) + big_endian(of.first_offset(), offset_bytes);
+    answer.body = to_big_endian(of.next_offset, offset_bytes) +
+                  to_big_endian(of.first_offset(), offset_bytes);
     for (const auto& each : of.history) {
         if (each.offset >= from && answer.body.size() < bytes_per_read) {
             const auto content = content_of(each.key, each.value);
-            answer.body += big_endian(content.size(), length_bytes) + content;
+            answer.body += to_big_endian(content.size(), length_bytes) + content;
         }
     }
     return answer;
@@ -306,8 +260,7 @@
         const std::lock_guard hold(this->lock);
         const auto& of = this->topics[name];
         if (from >= of.next_offset && wait > std::chrono::milliseconds(0)) {
-            const auto id = ++this->last_waiter;
-            this->waiters.push_back({id, name, from, std::move(respond)});
+            const auto id = this->waiters.add(name, from, std::move(respond));
             this->after(wait, [this, id] { this->end_wait(id); });
             return;
         }
@@ -318,22 +271,18 @@
 
 void keyed_store::end_wait(std::uint64_t id)
 {
-    net::responder respond;
+    std::optional<waiting_read> ended;
     net::http_answer answer;
     {
         const std::lock_guard hold(this->lock);
-        const auto found = std::find_if(this->waiters.begin(), this->waiters.end(),
-                                        [id](const waiter& each) { return each.id == id; });
-        if (found == this->waiters.end()) {
+        ended = this->waiters.take(id);
+        if (!ended) {
             return;
         }
-        answer = this->faults.outage
-                     ? json_answer(status_unavailable, "{}")
-                     : this->records_answer(this->topics[found->topic], found->from);
-        respond = std::move(found->respond);
-        this->waiters.erase(found);
+        answer = this->faults.outage ? json_answer(status_unavailable, "{}")
+                                     : this->records_answer(this->topics[ended->name], ended->from);
     }
-    respond(std::move(answer));
+    ended->respond(std::move(answer));
 }
 
 void keyed_store::newest(const net::http_call& call, const net::responder& respond)
--- a/tools/standin/keyed_store.hpp
+++ b/tools/standin/keyed_store.hpp
@@ -2,11 +2,11 @@
 
 #include "azureshore/core/time.hpp"
 #include "azureshore/net/http_server.hpp"
+#include "service_tools.hpp"
 
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <list>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -44,9 +44,6 @@
 // partition, in memory.
 class keyed_store {
 public:
-    // Runs a function after a delay, on any thread.
-    using delay_function = std::function<void(duration, std::function<void()>)>;
-
     keyed_store(store_limits limits, delay_function after);
 
     // Handles one HTTP call.
@@ -74,20 +71,6 @@
         [[nodiscard]] std::uint64_t first_offset() const;
     };
 
-    struct waiter {
-        std::uint64_t id = 0;
-        std::string topic;
-        std::uint64_t from = 0;
-        net::responder respond;
-    };
-
-    struct rate {
-        double per_second = 0;
-        double tokens = 0;
-        time_point at{};
-        bool take(time_point now);
-    };
-
     using pending_answers = std::vector<std::function<void()>>;
 
     void control(const std::string& path, const net::http_call& call,
@@ -106,11 +89,10 @@
     delay_function after;
     std::mutex lock;
     store_faults faults;
-    rate writes;
-    rate reads;
+    call_rate writes;
+    call_rate reads;
     std::map<std::string, topic_state> topics;
-    std::list<waiter> waiters;
-    std::uint64_t last_waiter = 0;
+    waiting_reads waiters;
 };
 
 // Runs the stand-in until SIGTERM or SIGINT; returns the exit status.
--- a/tools/standin/log_service.cpp
+++ b/tools/standin/log_service.cpp
@@ -22,11 +22,6 @@
 constexpr std::string_view streams_prefix = "/streams/";
 constexpr std::string_view records_suffix = "/records";
 
-time_point clock_now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 net::http_answer not_written(int status)
 {
     return {status, {{"Log-Written", "no"}}, "", false};
@@ -47,7 +42,7 @@
 
 log_service::log_service(log_limits bounds, delay_function delay)
     : limits(bounds), after(std::move(delay)),
-      tokens(static_cast<double>(bounds.appends_per_second)), tokens_at(clock_now())
+      appends(static_cast<double>(bounds.appends_per_second))
 {
 }
 
@@ -68,7 +63,7 @@
         if (this->faults.silent) {
             return;
         }
-        respond = this->held_back(std::move(respond));
+        respond = held_back(std::move(respond), this->faults.slow, this->after);
         if (this->faults.outage) {
             respond(not_written(status_unavailable));
             return;
@@ -83,17 +78,6 @@
     this->read(name, from, wait, std::move(respond));
 }
 
-net::responder log_service::held_back(net::responder respond)
-{
-    const auto delay = this->faults.slow;
-    if (delay == duration::zero()) {
-        return respond;
-    }
-    return [delay, respond = std::move(respond), run = this->after](net::http_answer answer) {
-        run(delay, [respond, answer = std::move(answer)] { respond(answer); });
-    };
-}
-
 void log_service::append(const std::string& name, const std::string& bytes,
                          const net::responder& respond)
 {
@@ -101,8 +85,8 @@
     net::http_answer answer;
     {
         const std::lock_guard hold(this->lock);
-        const auto now = clock_now();
-        if (!this->take_append_token(now)) {
+        const auto now = steady_now();
+        if (!this->appends.take(now)) {
             answer = not_written(status_too_many);
         }
         else {
@@ -124,19 +108,6 @@
     }
 }
 
-bool log_service::take_append_token(time_point now)
-{
-    const auto rate = static_cast<double>(this->limits.appends_per_second);
-    const std::chrono::duration<double> passed = now - this->tokens_at;
-    this->tokens = std::min(rate, this->tokens + passed.count() * rate);
-    this->tokens_at = now;
-    if (this->tokens < 1) {
-        return false;
-    }
-    this->tokens -= 1;
-    return true;
-}
-
 void log_service::expire(stream& of, time_point now)
 {
     while (!of.records.empty() && (of.records.size() > this->limits.retained_records ||
@@ -148,7 +119,7 @@
 
 net::http_answer log_service::records_answer(stream& of, std::uint64_t from)
 {
-    this->expire(of, clock_now());
+    this->expire(of, steady_now());
     const auto hidden = std::min<std::uint64_t>(this->faults.stale_records, of.records.size());
     const auto next = of.next() - hidden;
     net::http_answer answer;
@@ -180,8 +151,7 @@
         const auto visible =
             of.next() - std::min<std::uint64_t>(this->faults.stale_records, of.records.size());
         if (wait > duration::zero() && from >= visible) {
-            const auto id = ++this->last_waiter;
-            this->waiters.push_back({id, name, from, std::move(respond)});
+            const auto id = this->waiters.add(name, from, std::move(respond));
             this->after(wait, [this, id] { this->end_wait(id); });
             return;
         }
@@ -193,37 +163,32 @@
 std::vector<std::function<void()>> log_service::wake(const std::string& name)
 {
     std::vector<std::function<void()>> woken;
-    for (auto next = this->waiters.begin(); next != this->waiters.end();) {
-        if (next->stream != name || this->faults.stale_records > 0) {
-            ++next;
-            continue;
-        }
-        auto answer = this->records_answer(this->streams[name], next->from);
+    if (this->faults.stale_records > 0) {
+        return woken;
+    }
+    for (auto& each : this->waiters.take_all(name)) {
         woken.emplace_back(
-            [respond = std::move(next->respond), answer = std::move(answer)] { respond(answer); });
-        next = this->waiters.erase(next);
+            [respond = std::move(each.respond),
+             answer = this->records_answer(this->streams[name], each.from)] { respond(answer); });
     }
     return woken;
 }
 
 void log_service::end_wait(std::uint64_t id)
 {
-    net::responder respond;
+    std::optional<waiting_read> ended;
     net::http_answer answer;
     {
         const std::lock_guard hold(this->lock);
-        const auto found = std::find_if(this->waiters.begin(), this->waiters.end(),
-                                        [id](const waiter& each) { return each.id == id; });
-        if (found == this->waiters.end()) {
+        ended = this->waiters.take(id);
+        if (!ended) {
             return;
         }
         answer = this->faults.outage
                      ? not_written(status_unavailable)
-                     : this->records_answer(this->streams[found->stream], found->from);
-        respond = std::move(found->respond);
-        this->waiters.erase(found);
+                     : this->records_answer(this->streams[ended->name], ended->from);
     }
-    respond(answer);
+    ended->respond(answer);
 }
 
 void log_service::set_faults(const net::http_call& call, const net::responder& respond)
--- a/tools/standin/log_service.hpp
+++ b/tools/standin/log_service.hpp
@@ -2,12 +2,12 @@
 
 #include "azureshore/core/time.hpp"
 #include "azureshore/net/http_server.hpp"
+#include "service_tools.hpp"
 
 #include <chrono>
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <list>
 #include <map>
 #include <mutex>
 #include <string>
@@ -40,9 +40,6 @@
 // The platform's append-only log, as a stand-in in memory.
 class log_service {
 public:
-    // Runs a function after a delay, on any thread.
-    using delay_function = std::function<void(duration, std::function<void()>)>;
-
     log_service(log_limits limits, delay_function after);
 
     // Handles one HTTP call.
@@ -60,32 +57,21 @@
         [[nodiscard]] std::uint64_t next() const { return this->first + this->records.size(); }
     };
 
-    struct waiter {
-        std::uint64_t id = 0;
-        std::string stream;
-        std::uint64_t from = 0;
-        net::responder respond;
-    };
-
     void append(const std::string& name, const std::string& bytes, const net::responder& respond);
     void read(const std::string& name, std::uint64_t from, duration wait, net::responder respond);
     void set_faults(const net::http_call& call, const net::responder& respond);
     void expire(stream& of, time_point now);
-    bool take_append_token(time_point now);
     net::http_answer records_answer(stream& of, std::uint64_t from);
     std::vector<std::function<void()>> wake(const std::string& name);
     void end_wait(std::uint64_t id);
-    net::responder held_back(net::responder respond);
 
     log_limits limits;
     delay_function after;
     std::mutex lock;
     log_faults faults;
     std::map<std::string, stream> streams;
-    std::list<waiter> waiters;
-    std::uint64_t last_waiter = 0;
-    double tokens = 0;
-    time_point tokens_at{};
+    waiting_reads waiters;
+    call_rate appends;
 };
 
 // Runs the stand-in until SIGTERM or SIGINT; returns the exit status.
--- a/tools/standin/vm_list_service.cpp
+++ b/tools/standin/vm_list_service.cpp
@@ -15,11 +15,6 @@
 constexpr std::string_view list_path = "/vms";
 constexpr std::string_view entry_prefix = "/vms/";
 
-time_point clock_now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 bool is_entry(const std::string& body)
 {
     const auto entry = nlohmann::json::parse(body, nullptr, false);
@@ -47,7 +42,7 @@
     {
         const std::lock_guard hold(this->lock);
         if (!this->outage) {
-            answer = json_answer(status_ok, this->shown(clock_now()));
+            answer = json_answer(status_ok, this->shown(steady_now()));
         }
     }
     respond(answer);
@@ -64,7 +59,7 @@
     }
     {
         const std::lock_guard hold(this->lock);
-        version next{clock_now(), this->versions.back().entries};
+        version next{steady_now(), this->versions.back().entries};
         if (removes) {
             next.entries.erase(name);
         }
