Stop a stand-in's timers before the service that they call

Cause: run_log_service and run_keyed_store declared the timers before the service, so the service was destroyed while a read's time-out could still run in the timers' thread: a segmentation fault in waiting_reads::take at SIGTERM, seen once.

Ruled out: the responders, which hold the server weakly.

Change: timed_service holds both and destroys the timers first.

--- a/tools/standin/run.hpp
+++ b/tools/standin/run.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace azureshore::standin {
 
@@ -28,6 +29,25 @@
     std::unique_ptr<state> inner;
 };
 
+// A service together with the timers that call it. The timers are destroyed first, since their
+// thread may still run an action that uses the service.
+template <class Service>
+class timed_service {
+public:
+    template <class Limits>
+    explicit timed_service(const Limits& limits)
+        : service(limits, [this](duration span, std::function<void()> action) {
+              this->timers.after(span, std::move(action));
+          })
+    {
+    }
+
+    Service service;
+
+private:
+    delays timers;
+};
+
 // Serves `call` at `listen`, prints "KIND listening on HOST:PORT", and returns the exit status
 // once SIGTERM or SIGINT has come.
 int serve(std::string_view kind, const std::string& listen,
--- a/tools/standin/run_services.cpp
+++ b/tools/standin/run_services.cpp
@@ -59,12 +59,9 @@
         return *status;
     }
     limits.retained_for = std::chrono::seconds(retained_seconds);
-    delays timers;
-    log_service service(limits, [&timers](duration span, std::function<void()> action) {
-        timers.after(span, std::move(action));
-    });
-    return serve("log", listen, [&service](const net::http_call& call, net::responder respond) {
-        service.handle(call, std::move(respond));
+    timed_service<log_service> timed(limits);
+    return serve("log", listen, [&timed](const net::http_call& call, net::responder respond) {
+        timed.service.handle(call, std::move(respond));
     });
 }
 
@@ -85,12 +82,9 @@
     if (const auto status = parse(arguments, known, values)) {
         return *status;
     }
-    delays timers;
-    keyed_store service(limits, [&timers](duration span, std::function<void()> action) {
-        timers.after(span, std::move(action));
-    });
-    return serve("store", listen, [&service](const net::http_call& call, net::responder respond) {
-        service.handle(call, std::move(respond));
+    timed_service<keyed_store> timed(limits);
+    return serve("store", listen, [&timed](const net::http_call& call, net::responder respond) {
+        timed.service.handle(call, std::move(respond));
     });
 }
 
