--- a/src/azureshore/daemon/internal/gateway_store.cpp
+++ b/src/azureshore/daemon/internal/gateway_store.cpp
@@ -23,6 +23,14 @@
     return peers;
 }
 
+// Numbers the starts of this daemon in their order, unless the time of day is set back.
+std::uint64_t start_time()
+{
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                          std::chrono::system_clock::now().time_since_epoch())
+                                          .count());
+}
+
 } // namespace
 
 gateway_store::gateway_store(asio::io_context& context, const settings::gateway_settings& settings,
@@ -32,7 +40,7 @@
       registry(this->registry_hooks()), timer(context),
       socket(context, settings.peers, [this](std::string_view bytes) { this->received(bytes); }),
       sharing({settings.name, settings.peers, settings.data_centre, settings.apply_within,
-               peers_of(settings)},
+               peers_of(settings), start_time()},
               this->shared_topics(), this->sharing_hooks())
 {
 }
@@ -101,8 +109,11 @@
             }
         });
     };
-    made.send = [this](const address& where, const wire::message& body) {
-        this->socket.send(where, to_datagram(wire::encode({this->self, body})));
+    made.send = [this](const std::vector<address>& recipients, const wire::message& body) {
+        const auto datagram = to_datagram(wire::encode({this->self, body}));
+        for (const auto& each : recipients) {
+            this->socket.send(each, datagram);
+        }
     };
     made.announce = [this](const std::string& what, std::function<void(bool)> done) {
         this->topics.announce(this->self, what, std::move(done));
--- /dev/null
+++ b/src/azureshore/sharing/internal/joining.cpp
@@ -0,0 +1,319 @@
+#include "azureshore/sharing/internal/sharing_constants.hpp"
+#include "azureshore/sharing/internal/sharing_state.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace azureshore::sharing {
+
+namespace {
+
+// How long a daemon that starts waits for one daemon before it asks the next one.
+constexpr duration seed_timeout = std::chrono::milliseconds(200);
+// A daemon that starts asks nobody else for this long after another daemon told it to wait.
+constexpr duration wait_patience = std::chrono::milliseconds(500);
+// This long after its start, a daemon without an answer looks for the others in the store.
+constexpr duration seeds_timeout = std::chrono::milliseconds(500);
+// The time between two attempts of a daemon to load the topics without its seeds doubles from the
+// first to the second of these.
+constexpr duration first_load_retry_delay = std::chrono::milliseconds(400);
+constexpr duration max_load_retry_delay = std::chrono::seconds(2);
+// How long a starting daemon counts others as answering after their last answer.
+constexpr duration answer_validity = std::chrono::seconds(1);
+// Each daemon sends this many snapshots in a window and redirects the others that ask.
+constexpr std::size_t max_snapshots_per_window = 4;
+constexpr duration snapshot_window = std::chrono::milliseconds(100);
+// Daemons that were served longer ago may have ended, so nobody is redirected to them.
+constexpr duration served_daemons_validity = std::chrono::seconds(1);
+// Redirects that a daemon follows before it starts over.
+constexpr std::uint32_t max_redirects = 16;
+// Announced daemons that a starting daemon asks for a snapshot.
+constexpr std::size_t announced_daemons_asked = 3;
+
+// An announcement is a daemon's data centre and its address, separated by a space.
+std::optional<wire::member_entry> parse_announcement(const platform::keyed_record& record)
+{
+    const auto text = record.value.value_or("");
+    const auto space = text.find(' ');
+    if (space == std::string::npos) {
+        return std::nullopt;
+    }
+    const auto member_address = parse_address(text.substr(space + 1));
+    if (!member_address.ok()) {
+        return std::nullopt;
+    }
+    return wire::member_entry{vm_id{record.key}, *member_address,
+                              data_centre_id{text.substr(0, space)}};
+}
+
+} // namespace
+
+bool store_sharing::state::is_seed() const
+{
+    return std::find(this->settings.seeds.begin(), this->settings.seeds.end(),
+                     this->settings.own_address) != this->settings.seeds.end();
+}
+
+void store_sharing::state::start()
+{
+    this->started_at = this->now();
+    this->peer_answered_at = this->now() - std::chrono::hours(1);
+    this->load_retry_delay = first_load_retry_delay;
+    if (this->is_seed()) {
+        this->list_unlisted_topics();
+    }
+    this->ask_next_seed();
+    this->run_after(this->jittered(seeds_timeout), [](state& self) { self.load_without_seeds(); });
+}
+
+void store_sharing::state::ask_next_seed()
+{
+    if (this->topics_listed() && this->members_listed) {
+        return;
+    }
+    if (this->unasked_seeds.empty()) {
+        this->unasked_seeds = this->settings.seeds;
+        std::erase(this->unasked_seeds, this->settings.own_address);
+    }
+    if (this->now() >= this->next_request_at && !this->unasked_seeds.empty()) {
+        const auto chosen = this->unasked_seeds.begin() +
+                            static_cast<std::ptrdiff_t>(
+                                uniform_index(this->hooks.random, this->unasked_seeds.size()));
+        const auto seed = *chosen;
+        this->unasked_seeds.erase(chosen);
+        this->request_snapshot(seed, 0);
+    }
+    this->run_after(this->jittered(seed_timeout), [](state& self) { self.ask_next_seed(); });
+}
+
+void store_sharing::state::request_snapshot(const address& recipient, std::uint32_t redirects)
+{
+    this->next_request_at = this->now() + seed_timeout;
+    this->hooks.send({recipient},
+                     wire::topics_pull{this->known_members.self(), this->topics[0].next_offset,
+                                       this->topics[1].next_offset, !this->topics_listed(),
+                                       redirects});
+}
+
+void store_sharing::state::handle_redirect(const wire::pull_redirect& redirect)
+{
+    this->peer_answered_at = this->now();
+    this->told_member_count = std::max<std::size_t>(this->told_member_count, redirect.member_count);
+    if (redirect.targets.empty()) {
+        this->next_request_at = this->now() + wait_patience;
+    }
+    if (this->topics_listed() || redirect.targets.empty() || redirect.redirects > max_redirects) {
+        return;
+    }
+    const auto& target =
+        redirect.targets[uniform_index(this->hooks.random, redirect.targets.size())];
+    this->request_snapshot(target.where, redirect.redirects);
+}
+
+// Looks in the store for other daemons and for the topics themselves, if no other daemon answers.
+// Where others answer that have no snapshot either, only a few of them call the store.
+void store_sharing::state::load_without_seeds()
+{
+    if (this->topics_listed() && this->members_listed) {
+        return;
+    }
+    const bool others_answer = this->now() - this->peer_answered_at < answer_validity;
+    if (!others_answer || this->is_chosen_to_call()) {
+        if (this->members_listed) {
+            this->list_unlisted_topics();
+        }
+        else {
+            this->list_members();
+        }
+    }
+    this->run_after(this->jittered(this->load_retry_delay),
+                    [](state& self) { self.load_without_seeds(); });
+    this->load_retry_delay = std::min(this->load_retry_delay * 2, max_load_retry_delay);
+}
+
+void store_sharing::state::list_members()
+{
+    this->members_listed_at = this->now();
+    this->members_topic.list([weak = this->weak_from_this()](const platform::keyed_list& result) {
+        const auto self = weak.lock();
+        if (!self) {
+            return;
+        }
+        if (!result.ok) {
+            // Without a list of the others, this daemon still needs the topics.
+            self->list_unlisted_topics();
+            return;
+        }
+        std::vector<wire::member_entry> unknown;
+        for (const auto& each : result.records) {
+            const auto member = parse_announcement(each);
+            if (member && member->name != self->settings.self &&
+                !self->known_members.contains(member->name)) {
+                unknown.push_back(*member);
+            }
+        }
+        if (self->topics_listed()) {
+            for (const auto& each : unknown) {
+                self->send_digests(each, false);
+            }
+        }
+        else if (unknown.empty()) {
+            self->list_unlisted_topics();
+        }
+        else {
+            for (std::size_t asked = 0; asked < announced_daemons_asked; ++asked) {
+                self->request_snapshot(
+                    unknown[uniform_index(self->hooks.random, unknown.size())].where, 0);
+            }
+        }
+        if (!std::exchange(self->members_listed, true)) {
+            self->hooks.members_changed();
+        }
+    });
+}
+
+// Makes this daemon known to those that start while no seed answers.
+void store_sharing::state::announce()
+{
+    this->announced = true;
+    const auto announcement =
+        this->settings.data_centre.value + ' ' + to_string(this->settings.own_address);
+    this->hooks.announce(announcement, [weak = this->weak_from_this()](bool stored) {
+        if (const auto self = weak.lock()) {
+            self->announced = stored;
+        }
+    });
+}
+
+void store_sharing::state::handle_pull(const wire::topics_pull& pull)
+{
+    const bool known = this->known_members.contains(pull.sender.name);
+    this->introduce(pull.sender, pull.redirects == 0);
+    if (pull.wants_snapshot) {
+        this->serve_snapshot(pull.sender, pull.redirects);
+        return;
+    }
+    if (!known) {
+        this->send_digests(pull.sender, false);
+    }
+    if (!this->topics_listed()) {
+        this->send_to({pull.sender}, this->make_redirect({}, 0));
+        return;
+    }
+    this->send_update(pull.sender, this->topics[0], pull.operators_next);
+    this->send_update(pull.sender, this->topics[1], pull.registrations_next);
+}
+
+// Knowledge that has grown old is only passed on while there is nothing newer to be had.
+bool store_sharing::state::may_serve_snapshots() const
+{
+    return this->topics_listed() &&
+           (this->store_unavailable ||
+            this->now() - this->topics[1].current_as_of < this->settings.apply_within);
+}
+
+void store_sharing::state::serve_snapshot(const wire::member_entry& recipient,
+                                          std::uint32_t redirects)
+{
+    const auto now = this->now();
+    if (now - this->serving_window_begin > served_daemons_validity) {
+        this->served_daemons.clear();
+    }
+    if (now - this->serving_window_begin > snapshot_window) {
+        this->serving_window_begin = now;
+        this->served_in_window = 0;
+    }
+    const bool may_serve = this->may_serve_snapshots();
+    if (may_serve && this->served_in_window < max_snapshots_per_window) {
+        this->send_snapshot(recipient);
+        return;
+    }
+    std::vector<wire::member_entry> targets;
+    if (may_serve) {
+        targets.assign(this->served_daemons.begin(), this->served_daemons.end());
+    }
+    else {
+        targets = this->waiting_daemons;
+    }
+    const auto is_recipient = [&recipient](const wire::member_entry& each) {
+        return each.name == recipient.name;
+    };
+    const bool waits = std::any_of(targets.begin(), targets.end(), is_recipient) && !may_serve;
+    std::erase_if(targets, is_recipient);
+    if (!may_serve && (waits || targets.size() < max_snapshots_per_window)) {
+        if (!waits) {
+            this->waiting_daemons.push_back(recipient);
+        }
+        this->send_to({recipient}, this->make_redirect({}, redirects));
+        return;
+    }
+    if (targets.empty()) {
+        this->send_snapshot(recipient);
+        return;
+    }
+    this->send_to({recipient}, this->make_redirect({targets[this->next_served++ % targets.size()]},
+                                                   redirects + 1));
+}
+
+wire::pull_redirect store_sharing::state::make_redirect(std::vector<wire::member_entry> targets,
+                                                        std::uint32_t redirects) const
+{
+    const auto count = std::max(this->known_members.serving_count(), this->told_member_count);
+    return {std::move(targets), redirects, static_cast<std::uint32_t>(count)};
+}
+
+void store_sharing::state::serve_waiting_daemons()
+{
+    if (!this->may_serve_snapshots()) {
+        return;
+    }
+    for (const auto& each : std::exchange(this->waiting_daemons, {})) {
+        this->send_snapshot(each);
+    }
+}
+
+void store_sharing::state::send_snapshot(const wire::member_entry& recipient)
+{
+    ++this->served_in_window;
+    this->served_daemons.push_back(recipient);
+    if (this->served_daemons.size() > max_snapshots_per_window) {
+        this->served_daemons.pop_front();
+    }
+    auto entries = this->known_members.others();
+    entries.push_back(this->known_members.self());
+    this->send_members(recipient, entries);
+    for (const auto& each : this->topics) {
+        this->send_all_records(recipient, each);
+    }
+}
+
+void store_sharing::state::handle_snapshot(const wire::topic_snapshot& snapshot)
+{
+    this->peer_answered_at = this->now();
+    auto& topic = this->topic_for(snapshot.topic);
+    if (snapshot.parts == 0 || (topic.listed && snapshot.next <= topic.next_offset)) {
+        return;
+    }
+    if (topic.snapshot_next_offset != snapshot.next) {
+        topic.snapshot_parts.clear();
+        topic.snapshot_next_offset = snapshot.next;
+    }
+    topic.snapshot_parts[snapshot.part] = snapshot.records;
+    if (topic.snapshot_parts.size() < snapshot.parts) {
+        return;
+    }
+    std::vector<platform::keyed_record> records;
+    for (const auto& [part_number, part] : topic.snapshot_parts) {
+        for (const auto& each : part) {
+            records.push_back({each.offset, each.key, each.value});
+        }
+    }
+    topic.snapshot_parts.clear();
+    this->apply_list(topic, snapshot.next, records);
+    topic.missed_records = false;
+    topic.current_as_of = this->now() - std::max(snapshot.age, duration{});
+    this->serve_waiting_daemons();
+    this->check_staleness();
+}
+
+} // namespace azureshore::sharing
--- a/src/azureshore/sharing/internal/messages.cpp
+++ b/src/azureshore/sharing/internal/messages.cpp
@@ -8,12 +8,14 @@
 
 namespace {
 
-// Number of daemons that send what they read. This many daemons at the head of the overall rank
-// order send it to all data centres. In each data centre, this many at the head of the local rank
-// order send it to the daemons there. More senders would only add messages.
-constexpr std::size_t broadcasting_daemon_count = 4;
-// The reader removes a member that has not answered its news for this long.
-constexpr duration member_timeout = std::chrono::milliseconds(3500);
+// Broadcasts that a daemon remembers to recognise further copies.
+constexpr std::size_t max_seen_broadcasts = 1024;
+// The age of a part of an update that is not the last one. Only the last one completes it.
+constexpr duration incomplete_age = std::chrono::hours(1);
+// Daemons that are asked for what this one has missed.
+constexpr std::size_t pulled_daemons = 3;
+// How long after a pull this daemon reads records that it knows to be missing from the store.
+constexpr duration pull_timeout = std::chrono::milliseconds(200);
 // Limit on the total size of the records in one message, so that the message fits into a datagram.
 // A single record above this limit is sent in a message of its own.
 constexpr std::size_t max_news_bytes = 32UL * 1024UL;
@@ -49,65 +51,129 @@
 
 } // namespace
 
-void store_sharing::state::send_snapshots(const std::vector<wire::member_entry>& recipients)
+void store_sharing::state::send_all_records(const wire::member_entry& recipient,
+                                            const topic_state& topic)
 {
-    for (const auto& each : this->topics) {
-        wire::topic_news snapshot;
-        snapshot.next = each.next_offset;
-        for (const auto& [key, record] : each.newest_records) {
-            snapshot.records.push_back(record);
-        }
-        auto parts = split_news(std::move(snapshot));
-        std::uint32_t part_number = 0;
-        for (auto& part : parts) {
-            this->send_to(recipients,
-                          wire::topic_snapshot{each.kind, each.next_offset,
-                                               this->now() - each.current_as_of, part_number++,
-                                               static_cast<std::uint32_t>(parts.size()),
-                                               std::move(part.records)});
-        }
+    wire::topic_news all;
+    all.next = topic.next_offset;
+    for (const auto& [key, newest] : topic.newest_records) {
+        all.records.push_back(newest.record);
+    }
+    auto parts = split_news(std::move(all));
+    std::uint32_t part_number = 0;
+    for (auto& part : parts) {
+        this->send_to({recipient},
+                      wire::topic_snapshot{topic.kind, topic.next_offset,
+                                           this->now() - topic.current_as_of, part_number++,
+                                           static_cast<std::uint32_t>(parts.size()),
+                                           std::move(part.records)});
     }
 }
 
-void store_sharing::state::handle_snapshot(const wire::topic_snapshot& snapshot)
+// Sends what has changed since an offset, and how old this daemon's knowledge is.
+void store_sharing::state::send_update(const wire::member_entry& recipient, topic_state& topic,
+                                       std::uint64_t from)
 {
-    auto& topic = this->topic_for(snapshot.topic);
-    if (snapshot.parts == 0 || (topic.listed && snapshot.next <= topic.next_offset)) {
+    if (from < topic.history_begin) {
+        this->send_all_records(recipient, topic);
         return;
     }
-    if (topic.snapshot_next_offset != snapshot.next) {
-        topic.snapshot_parts.clear();
-        topic.snapshot_next_offset = snapshot.next;
+    wire::topic_news changes;
+    changes.from = std::min(from, topic.next_offset);
+    changes.next = topic.next_offset;
+    for (const auto& [key, newest] : topic.newest_records) {
+        if (newest.changed_offset >= from) {
+            changes.records.push_back(newest.record);
+        }
+    }
+    for (auto removed = topic.removed_keys.lower_bound(from); removed != topic.removed_keys.end();
+         ++removed) {
+        changes.records.push_back({removed->first, removed->second, std::nullopt});
     }
-    topic.snapshot_parts[snapshot.part] = snapshot.records;
-    if (topic.snapshot_parts.size() < snapshot.parts) {
+    std::sort(changes.records.begin(), changes.records.end(),
+              [](const auto& left, const auto& right) { return left.offset < right.offset; });
+    const auto age = this->now() - topic.current_as_of;
+    for (auto& part : split_news(std::move(changes))) {
+        const bool last = part.next == topic.next_offset;
+        this->send_to({recipient},
+                      wire::topic_update{topic.kind, part.from, part.next,
+                                         last ? age : incomplete_age, std::move(part.records)});
+    }
+}
+
+void store_sharing::state::handle_update(const wire::topic_update& update)
+{
+    const auto now = this->now();
+    this->peer_answered_at = now;
+    auto& topic = this->topic_for(update.topic);
+    if (!topic.listed || update.from > topic.next_offset) {
         return;
     }
-    std::vector<platform::keyed_record> records;
-    for (const auto& [part_number, part] : topic.snapshot_parts) {
-        for (const auto& each : part) {
-            records.push_back({each.offset, each.key, each.value});
+    for (const auto& each : update.records) {
+        if (each.offset >= topic.next_offset) {
+            this->apply_record(topic, {each.offset, each.key, each.value});
         }
     }
-    topic.snapshot_parts.clear();
-    this->apply_list(topic, snapshot.next, records);
-    topic.current_as_of = this->now() - std::max(snapshot.age, duration{});
-    this->check_staleness();
+    if (update.next > topic.next_offset) {
+        topic.recent_reads.clear();
+        topic.next_offset = update.next;
+        topic.missed_records = false;
+    }
+    topic.current_as_of =
+        std::max(topic.current_as_of, now - std::clamp(update.age, duration{}, incomplete_age));
+    if (now - topic.current_as_of < fraction_of(this->settings.apply_within, takeover_fraction)) {
+        this->set_store_unavailable(false);
+    }
+}
+
+// Asks other daemons for what this one has missed.
+void store_sharing::state::pull_from_others()
+{
+    this->send_to(this->random_members(pulled_daemons),
+                  wire::topics_pull{this->known_members.self(), this->topics[0].next_offset,
+                                    this->topics[1].next_offset, false, 0});
 }
 
 void store_sharing::state::send_to(const std::vector<wire::member_entry>& recipients,
                                    const wire::message& body)
 {
+    std::vector<address> addresses;
+    addresses.reserve(recipients.size());
     for (const auto& each : recipients) {
-        this->hooks.send(each.where, body);
+        addresses.push_back(each.where);
     }
+    if (!addresses.empty()) {
+        this->hooks.send(addresses, body);
+    }
+}
+
+void store_sharing::state::broadcast(const wire::message& body)
+{
+    auto recipients = this->known_members.children();
+    for (const auto& each : this->known_members.roots()) {
+        if (std::find(recipients.begin(), recipients.end(), each) == recipients.end()) {
+            recipients.push_back(each);
+        }
+    }
+    this->send_to(recipients, body);
+}
+
+bool store_sharing::state::first_receipt(std::uint64_t broadcast_id)
+{
+    if (!this->seen_broadcasts.insert(broadcast_id).second) {
+        return false;
+    }
+    this->seen_broadcasts_by_age.push_back(broadcast_id);
+    if (this->seen_broadcasts_by_age.size() > max_seen_broadcasts) {
+        this->seen_broadcasts.erase(this->seen_broadcasts_by_age.front());
+        this->seen_broadcasts_by_age.pop_front();
+    }
+    return true;
 }
 
 void store_sharing::state::send_news(topic_state& topic)
 {
-    const bool sends_everywhere = this->known_members.rank() < broadcasting_daemon_count;
-    if (this->leaving || topic.recent_reads.empty() ||
-        (!sends_everywhere && this->known_members.local_rank() >= broadcasting_daemon_count)) {
+    if (this->leaving || topic.recent_reads.empty()) {
         return;
     }
     wire::topic_news news;
@@ -117,95 +183,84 @@
     news.next = topic.next_offset;
     news.operators_next = this->topic_for(wire::shared_topic::operators).next_offset;
     news.members_digest = this->known_members.digest();
-    news.request_rate = this->sum_request_rates();
-    this->total_request_rate = news.request_rate;
     for (const auto& each : topic.recent_reads) {
         news.records.insert(news.records.end(), each.records.begin(), each.records.end());
     }
-    for (const auto& part : split_news(std::move(news))) {
-        this->send_to(this->known_members.local_members(), part);
-        if (sends_everywhere) {
-            this->send_to(this->known_members.remote_relays(), part);
-        }
-    }
-    if (sends_everywhere && std::exchange(this->member_views_differ, false)) {
-        wire::member_list list{this->settings.self, this->known_members.others()};
-        list.members.push_back(
-            {this->settings.self, this->settings.own_address, this->settings.data_centre, false});
-        this->send_to(this->known_members.local_members(), list);
-        this->send_to(this->known_members.remote_relays(), list);
+    if (topic.kind == wire::shared_topic::registrations) {
+        this->count_missed_reports();
+        this->total_request_rate = this->subtree_request_rate();
+        this->report_to_parent();
     }
-}
-
-double store_sharing::state::sum_request_rates()
-{
-    std::erase_if(this->request_rates,
-                  [this](const auto& each) { return !this->known_members.contains(each.first); });
-    double sum = this->hooks.request_rate();
-    for (const auto& [name, rate] : this->request_rates) {
-        sum += rate;
+    news.request_rate = this->total_request_rate;
+    for (auto& part : split_news(std::move(news))) {
+        part.ends_round = part.next == topic.next_offset;
+        part.broadcast_id = this->hooks.random();
+        this->first_receipt(part.broadcast_id);
+        this->broadcast(part);
     }
-    return sum;
 }
 
 void store_sharing::state::receive(const wire::envelope& received)
 {
     if (const auto* news = std::get_if<wire::topic_news>(&received.body)) {
-        this->forward_within_data_centre(received, news->reader);
-        this->handle_news(*news);
+        if (this->first_receipt(news->broadcast_id)) {
+            this->send_to(this->known_members.children(), received.body);
+            this->handle_news(*news);
+        }
+    }
+    else if (const auto* suspicion = std::get_if<wire::crash_suspicion>(&received.body)) {
+        if (this->first_receipt(suspicion->broadcast_id)) {
+            this->send_to(this->known_members.children(), received.body);
+            this->hooks.crash_suspected(suspicion->fingerprint);
+        }
     }
     else if (const auto* snapshot = std::get_if<wire::topic_snapshot>(&received.body)) {
         this->handle_snapshot(*snapshot);
     }
+    else if (const auto* update = std::get_if<wire::topic_update>(&received.body)) {
+        this->handle_update(*update);
+    }
     else if (const auto* hello = std::get_if<wire::member_hello>(&received.body)) {
-        this->handle_hello(received.from, *hello);
-    }
-    else if (const auto* list = std::get_if<wire::member_list>(&received.body)) {
-        this->forward_within_data_centre(received, list->reader);
-        auto view = list->members;
-        std::erase_if(view, [this](const wire::member_entry& each) {
-            return each.name == this->settings.self;
-        });
-        if (this->known_members.replace_with(this->now(), view)) {
-            this->hooks.members_changed();
-        }
+        this->handle_hello(*hello);
     }
-    else if (const auto* suspicion = std::get_if<wire::crash_suspicion>(&received.body)) {
-        this->hooks.crash_suspected(suspicion->fingerprint);
+    else if (const auto* changes = std::get_if<wire::member_changes>(&received.body)) {
+        this->handle_members(changes->members);
     }
-}
-
-// A message that comes directly from a reader in another data centre is forwarded to the daemons
-// of this one.
-void store_sharing::state::forward_within_data_centre(const wire::envelope& received,
-                                                      const vm_id& origin)
-{
-    if (received.from == origin && !this->known_members.is_local(origin)) {
-        this->send_to(this->known_members.local_members(), received.body);
+    else if (const auto* digests = std::get_if<wire::member_digests>(&received.body)) {
+        this->handle_digests(*digests);
+    }
+    else if (const auto* pull = std::get_if<wire::topics_pull>(&received.body)) {
+        this->handle_pull(*pull);
+    }
+    else if (const auto* redirect = std::get_if<wire::pull_redirect>(&received.body)) {
+        this->handle_redirect(*redirect);
     }
 }
 
 void store_sharing::state::handle_news(const wire::topic_news& news)
 {
     const auto now = this->now();
-    const auto& sender = news.reader;
     const bool from_best_reader =
         !this->reader ||
         now - this->reader_heard_at > fraction_of(this->settings.apply_within, takeover_fraction) ||
-        this->known_members.rank_of(sender) <= this->known_members.rank_of(*this->reader);
+        this->known_members.rank_of(news.reader) <= this->known_members.rank_of(*this->reader);
     if (from_best_reader) {
         this->total_request_rate = news.request_rate;
-        this->reader = sender;
+        this->reader = news.reader;
         this->reader_heard_at = now;
     }
     auto& topic = this->topic_for(news.topic);
     if (!topic.listed) {
         return;
     }
+    if (from_best_reader && news.ends_round && news.topic == wire::shared_topic::registrations) {
+        this->compare_views(news.members_digest);
+        this->count_missed_reports();
+        this->report_to_parent();
+    }
     if (news.from > topic.next_offset) {
-        // An earlier news message was lost, so this daemon reads the missing records itself.
-        topic.missed_records = true;
-        this->read_topic(topic, std::chrono::milliseconds(0));
+        // An earlier news message was lost.
+        this->fetch_missed_records(topic);
         return;
     }
     for (const auto& each : news.records) {
@@ -219,79 +274,38 @@
     topic.next_offset = std::max(topic.next_offset, news.next);
     topic.current_as_of = now;
     topic.last_call_failed = false;
+    topic.missed_records = false;
     auto& operators = this->topic_for(wire::shared_topic::operators);
     if (news.operators_next > operators.next_offset) {
-        operators.missed_records = true;
-        this->read_topic(operators, std::chrono::milliseconds(0));
+        this->fetch_missed_records(operators);
     }
     else {
         operators.current_as_of = now;
         operators.last_call_failed = false;
     }
     this->set_store_unavailable(false);
-    const auto sender_address = this->known_members.find(sender);
-    if (from_best_reader && sender_address && news.topic == wire::shared_topic::registrations) {
-        this->send_hello(*sender_address);
-    }
-}
-
-void store_sharing::state::handle_hello(const vm_id& sender, const wire::member_hello& hello)
-{
-    const bool sender_unknown = !this->known_members.contains(sender);
-    this->request_rates[sender] = hello.request_rate;
-    if (this->known_members.record_member(
-            this->now(), {sender, hello.where, hello.data_centre, hello.leaving})) {
-        this->hooks.members_changed();
-    }
-    if (hello.wants_all && this->topics_listed()) {
-        this->send_snapshots({{sender, hello.where, hello.data_centre, false}});
-    }
-    if (sender_unknown && !hello.leaving) {
-        this->send_hello(hello.where);
-    }
-    else if (this->is_reader() && hello.members_digest != 0 &&
-             hello.members_digest != this->known_members.digest()) {
-        this->member_views_differ = true;
-    }
-}
-
-void store_sharing::state::send_hello(const address& recipient, bool wants_all)
-{
-    this->hooks.send(recipient,
-                     wire::member_hello{this->settings.own_address, this->settings.data_centre,
-                                        this->known_members.digest(), this->leaving, wants_all,
-                                        this->hooks.request_rate()});
 }
 
-// Introduces this daemon to the best-ranked daemons, which send the news messages. If it receives
-// none, they may not know it.
-void store_sharing::state::send_hello_to_best_ranked()
+// Asks other daemons for records that this one has missed, and reads them from the store if they
+// have not come soon after.
+void store_sharing::state::fetch_missed_records(topic_state& topic)
 {
-    constexpr std::size_t hello_recipient_count = 3;
-    for (const auto& each : this->known_members.others()) {
-        if (this->known_members.rank_of(each.name) < hello_recipient_count) {
-            this->send_hello(each.where);
-        }
-    }
-}
-
-// Only the reader gets hellos from every member, so only the reader can tell which are silent.
-void store_sharing::state::remove_silent_members()
-{
-    const auto now = this->now();
-    if (!this->is_reader() || now - this->started_at < member_timeout) {
-        this->reader_since = now;
+    if (std::exchange(topic.missed_records, true)) {
         return;
     }
-    if (now - this->reader_since > member_timeout &&
-        this->known_members.remove_silent(now - member_timeout)) {
-        this->hooks.members_changed();
-    }
+    this->pull_from_others();
+    this->run_after(pull_timeout, [kind = topic.kind](state& self) {
+        if (self.topic_for(kind).missed_records) {
+            self.read_topic(self.topic_for(kind), std::chrono::milliseconds(0));
+        }
+    });
 }
 
 void store_sharing::state::broadcast_crash_suspicion(std::uint64_t fingerprint)
 {
-    this->send_to(this->known_members.others(), wire::crash_suspicion{fingerprint});
+    const wire::crash_suspicion suspicion{fingerprint, this->hooks.random()};
+    this->first_receipt(suspicion.broadcast_id);
+    this->broadcast(suspicion);
 }
 
 } // namespace azureshore::sharing
--- a/src/azureshore/sharing/internal/reading.cpp
+++ b/src/azureshore/sharing/internal/reading.cpp
@@ -10,9 +10,20 @@
 
 // The interval between two reads by the reader, as a fraction of sharing_settings::apply_within.
 constexpr double reader_interval_fraction = 0.4;
-// Daemons that rank beyond max_takeover_steps wait for an additional random time, up to this
-// fraction of sharing_settings::apply_within.
-constexpr double takeover_jitter_fraction = 0.15;
+// The same for a reader that does not rank first, so that the first one takes over from it.
+constexpr double substitute_interval_fraction = 0.45;
+// How old a daemon that is no standby reader lets its records become before it asks others, as a
+// fraction of sharing_settings::apply_within, and how much longer it waits at random.
+constexpr double pull_fraction = 0.55;
+constexpr double pull_jitter_fraction = 0.03;
+// How long it then waits before it may read the store, and between two such attempts.
+constexpr double pull_wait_fraction = 0.05;
+// Records older than this fraction of sharing_settings::apply_within show that the store is
+// unavailable, as some daemon would have read it otherwise.
+constexpr double unavailable_fraction = 0.95;
+// The time between two lists of the announced daemons by the reader, which finds those that lost
+// contact with all others.
+constexpr duration members_list_interval = std::chrono::seconds(10);
 // The reader's long poll of the operators' topic ends after this fraction of apply_within. The
 // store does not always wake a waiting read, and a connection may have gone silent.
 constexpr double operators_poll_fraction = 0.5;
@@ -22,6 +33,15 @@
 
 } // namespace
 
+void store_sharing::state::list_unlisted_topics()
+{
+    for (auto& each : this->topics) {
+        if (!each.listed && !each.call_in_flight) {
+            this->list_topic(each);
+        }
+    }
+}
+
 void store_sharing::state::list_topic(topic_state& topic)
 {
     topic.call_in_flight = true;
@@ -35,21 +55,21 @@
         listed_topic.call_in_flight = false;
         if (!result.ok) {
             self->handle_store_failure(listed_topic);
-            self->run_after(store_retry_delay, [kind](state& live_state) {
-                if (!live_state.topic_for(kind).listed &&
-                    !live_state.topic_for(kind).call_in_flight) {
-                    live_state.list_topic(live_state.topic_for(kind));
-                }
-            });
+            // A seed serves all that start; the others try again as load_without_seeds() decides.
+            if (listed_topic.listed || self->is_seed()) {
+                self->run_after(self->jittered(store_retry_delay), [kind](state& live_state) {
+                    auto& retried_topic = live_state.topic_for(kind);
+                    if (!retried_topic.call_in_flight &&
+                        (!retried_topic.listed || retried_topic.last_call_failed)) {
+                        live_state.list_topic(retried_topic);
+                    }
+                });
+            }
             return;
         }
-        const bool was_incomplete = !self->topics_listed();
         self->apply_list(listed_topic, result.next_offset, result.records);
         self->handle_store_success(listed_topic, began);
-        if (was_incomplete && self->topics_listed() &&
-            self->known_members.rank() < listing_daemon_count) {
-            self->send_snapshots(self->known_members.others());
-        }
+        self->serve_waiting_daemons();
         self->check_staleness();
     });
 }
@@ -116,6 +136,23 @@
         return;
     }
     this->start_operators_long_poll();
+    this->find_other_daemons();
+}
+
+// The reader announces itself to daemons that start, and looks for daemons that lost contact with
+// all others, such as a group that started apart.
+void store_sharing::state::find_other_daemons()
+{
+    if (!this->is_reader()) {
+        return;
+    }
+    if (!this->announced) {
+        this->announce();
+    }
+    if (!this->members_listed_at ||
+        this->now() - *this->members_listed_at > members_list_interval) {
+        this->list_members();
+    }
 }
 
 void store_sharing::state::apply_read(topic_state& topic, const platform::keyed_read& result)
@@ -139,6 +176,9 @@
     topic.last_call_failed = false;
     topic.missed_records = false;
     topic.current_as_of = std::max(topic.current_as_of, began);
+    if (topic.kind == wire::shared_topic::registrations) {
+        this->own_read_at = began;
+    }
     if (!this->topics[0].last_call_failed && !this->topics[1].last_call_failed) {
         this->set_store_unavailable(false);
     }
@@ -149,12 +189,9 @@
     topic.last_call_failed = true;
     topic.read_again = false;
     topic.recent_reads.clear();
-    // The store may refuse this daemon alone, or its link to the store may be cut. If another
-    // daemon is known to have newer records, this one asks the reader for a snapshot.
-    const auto reader_address =
-        this->reader ? this->known_members.find(*this->reader) : std::nullopt;
-    if (std::exchange(topic.missed_records, false) && reader_address) {
-        this->send_hello(*reader_address, true);
+    // The store may refuse this daemon alone, or its link to the store may be cut.
+    if (std::exchange(topic.missed_records, false)) {
+        this->pull_from_others();
     }
     if (this->now() - topic.current_as_of > this->max_staleness()) {
         this->set_store_unavailable(true);
@@ -175,74 +212,104 @@
     }
 }
 
-// Returns how old this daemon lets its records become before it reads the store itself. The reader
-// has the shortest limit; the others follow in rank order so that they do not read all at once.
+// Returns how old this daemon lets its records become before it reads the store itself, or asks
+// others if it is no standby reader. The reader has the shortest limit; the others follow in rank
+// order so that they do not read all at once.
 duration store_sharing::state::max_staleness() const
 {
     const auto bound = this->settings.apply_within;
-    if (this->leaving) {
-        return fraction_of(bound, takeover_fraction + takeover_step_fraction * max_takeover_steps);
-    }
     const auto rank = this->known_members.rank();
-    if (rank == 0) {
+    if (!this->leaving && rank == 0) {
         return fraction_of(bound, reader_interval_fraction);
     }
-    const auto takeover_steps = std::min(rank - 1, 2 + this->known_members.local_rank());
-    if (takeover_steps <= max_takeover_steps) {
+    if (this->is_reader()) {
+        return fraction_of(bound, substitute_interval_fraction);
+    }
+    if (!this->leaving && rank < standby_reader_count) {
         return fraction_of(bound, takeover_fraction +
-                                      takeover_step_fraction * static_cast<double>(takeover_steps));
+                                      takeover_step_fraction * static_cast<double>(rank - 1));
     }
-    return fraction_of(bound, takeover_fraction + takeover_step_fraction * max_takeover_steps +
-                                  takeover_jitter_fraction * uniform(this->hooks.random));
+    return fraction_of(bound, pull_fraction + pull_jitter_fraction * uniform(this->hooks.random));
 }
 
 bool store_sharing::state::is_reader() const
 {
-    if (this->leaving) {
+    if (this->leaving || !this->own_read_at) {
         return false;
     }
+    const auto now = this->now();
+    const auto takeover_age = fraction_of(this->settings.apply_within, takeover_fraction);
     const bool better_reader_active =
         this->reader && this->known_members.rank_of(*this->reader) < this->known_members.rank() &&
-        this->now() - this->reader_heard_at <
-            fraction_of(this->settings.apply_within, takeover_fraction);
+        now - this->reader_heard_at < takeover_age;
     return !better_reader_active && !this->topics[0].last_call_failed &&
-           !this->topics[1].last_call_failed &&
-           this->now() - this->topics[1].current_as_of <
-               fraction_of(this->settings.apply_within, takeover_fraction);
+           !this->topics[1].last_call_failed && now - *this->own_read_at < takeover_age;
+}
+
+bool store_sharing::state::is_chosen_to_call()
+{
+    const auto daemons = std::max(this->known_members.serving_count(), this->told_member_count);
+    return uniform(this->hooks.random) < random_reader_count / static_cast<double>(daemons);
 }
 
-// Reads the store if this daemon's records are older than max_staleness(), and schedules the next
-// check for the time at which they will be.
+// Reads the store if this daemon's records are older than max_staleness(), or asks other daemons
+// first, and schedules the next check for the time at which the records will be that old.
 void store_sharing::state::check_staleness()
 {
     if (!this->topics_listed()) {
         return;
     }
     const auto now = this->now();
+    const auto bound = this->settings.apply_within;
     auto& registrations = this->topic_for(wire::shared_topic::registrations);
     const auto due = registrations.current_as_of + this->max_staleness();
-    auto& operators = this->topic_for(wire::shared_topic::operators);
-    if (now >= due && !registrations.call_in_flight) {
-        // The operators' topic is read first, because a news message about the registrations also
-        // states how far the sender has read the operators' topic, and its receivers then regard
-        // their records of that topic as current.
-        this->read_topic(operators.call_in_flight ? registrations : operators,
-                         std::chrono::milliseconds(0));
-        if (this->known_members.rank() > 0) {
-            this->send_hello_to_best_ranked();
-        }
+    if (now < due) {
+        this->pulled_at.reset();
+        this->schedule_check(due - now);
+        return;
     }
-    this->remove_silent_members();
-    const auto retry_delay = this->store_unavailable ? this->max_staleness() : store_retry_delay;
-    const auto check_delay = now >= due ? retry_delay : due - now;
+    if (now - registrations.current_as_of > fraction_of(bound, unavailable_fraction)) {
+        this->set_store_unavailable(true);
+    }
+    const bool reads_first = this->known_members.rank() < standby_reader_count && !this->leaving;
+    const bool others_answered = this->pulled_at && this->peer_answered_at >= *this->pulled_at;
+    if (reads_first || (this->pulled_at && (!others_answered || this->is_chosen_to_call()))) {
+        this->read_both_topics();
+    }
+    if (this->known_members.rank() > 0 || this->topics[0].last_call_failed ||
+        this->topics[1].last_call_failed) {
+        this->pulled_at = now;
+        this->pull_from_others();
+    }
+    const auto retry_delay = this->store_unavailable ? fraction_of(bound, reader_interval_fraction)
+                             : reads_first           ? store_retry_delay
+                                                     : fraction_of(bound, pull_wait_fraction);
+    this->schedule_check(this->jittered(retry_delay));
+}
+
+void store_sharing::state::schedule_check(duration delay)
+{
     if (!std::exchange(this->check_scheduled, true)) {
-        this->run_after(check_delay, [](state& self) {
+        this->run_after(delay, [](state& self) {
             self.check_scheduled = false;
             self.check_staleness();
         });
     }
 }
 
+// The operators' topic is read first, because a news message about the registrations also states
+// how far the sender has read the operators' topic, and its receivers then regard their records of
+// that topic as current.
+void store_sharing::state::read_both_topics()
+{
+    auto& registrations = this->topic_for(wire::shared_topic::registrations);
+    auto& operators = this->topic_for(wire::shared_topic::operators);
+    if (!registrations.call_in_flight) {
+        this->read_topic(operators.call_in_flight ? registrations : operators,
+                         std::chrono::milliseconds(0));
+    }
+}
+
 // The reader always has a long poll of the operators' topic in flight, so that a change reaches all
 // daemons without delay.
 void store_sharing::state::start_operators_long_poll()
--- a/src/azureshore/sharing/internal/sharing_constants.hpp
+++ b/src/azureshore/sharing/internal/sharing_constants.hpp
@@ -12,12 +12,14 @@
 // How much longer each further daemon in rank order waits than the one before it, as a fraction of
 // sharing_settings::apply_within.
 inline constexpr double takeover_step_fraction = 0.05;
-// The number of such steps after which the wait no longer grows with the rank.
-inline constexpr std::size_t max_takeover_steps = 5;
-// Daemons ranked before this list the topics when they start; the others ask these for a snapshot.
-inline constexpr std::size_t listing_daemon_count = 2;
+// Daemons ranked before this read the store when the ones before them do not. Those ranked after it
+// ask other daemons first.
+inline constexpr std::size_t standby_reader_count = 4;
 // Delay before a failed call to the store is retried.
 inline constexpr duration store_retry_delay = std::chrono::milliseconds(250);
+// Of the daemons that have no special task in an outage, about this many call the store in each
+// round of retries, however many there are.
+inline constexpr double random_reader_count = 6;
 
 inline duration fraction_of(duration whole, double fraction)
 {
--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 
 namespace azureshore::sharing {
 
@@ -31,6 +32,11 @@
         std::uint64_t next_offset = 0;
         std::vector<wire::shared_record> records;
     };
+    // The newest record of a key, and the offset of the record that last changed anything.
+    struct newest_record {
+        wire::shared_record record;
+        std::uint64_t changed_offset = 0;
+    };
     struct topic_state {
         wire::shared_topic kind;
         platform::keyed_topic store;
@@ -45,20 +51,29 @@
         // Another daemon has records that this one lacks.
         bool missed_records = false;
         std::deque<read_round> recent_reads{};
-        // The newest record of each key, for snapshots to daemons that start.
-        std::map<std::string, wire::shared_record> newest_records{};
+        std::map<std::string, newest_record> newest_records{};
+        // Removals by offset. Those before history_begin are not known.
+        std::map<std::uint64_t, std::string> removed_keys{};
+        std::uint64_t history_begin = 0;
         // The parts received so far of an incomplete snapshot, by part number, and the offset after
         // the last record of the whole snapshot.
         std::map<std::uint32_t, std::vector<wire::shared_record>> snapshot_parts{};
         std::uint64_t snapshot_next_offset = 0;
     };
+    struct child_report {
+        std::size_t missed_rounds = 0;
+        double request_rate = 0;
+    };
 
     [[nodiscard]] time_point now() const { return this->hooks.clock(); }
     topic_state& topic_for(wire::shared_topic kind);
     void run_after(duration delay, std::function<void(state&)> action);
+    // A random delay between the given one and one and a half of it.
+    duration jittered(duration delay);
 
     // Calls to the store.
     void list_topic(topic_state& topic);
+    void list_unlisted_topics();
     void read_topic(topic_state& topic, std::chrono::milliseconds max_wait);
     void handle_read_result(topic_state& topic, time_point began,
                             const platform::keyed_read& result);
@@ -68,33 +83,71 @@
     void apply_list(topic_state& topic, std::uint64_t next_offset,
                     const std::vector<platform::keyed_record>& records);
     bool apply_record(topic_state& topic, const platform::keyed_record& record);
+    void announce();
+    void list_members();
+    void find_other_daemons();
 
     // Start-up.
-    void load_topics();
-    void list_unlisted_topics();
-    void send_snapshots(const std::vector<wire::member_entry>& recipients);
+    [[nodiscard]] bool is_seed() const;
+    void ask_next_seed();
+    void load_without_seeds();
+    void request_snapshot(const address& recipient, std::uint32_t redirects);
+    void handle_redirect(const wire::pull_redirect& redirect);
+
+    // Snapshots and updates for other daemons.
+    void handle_pull(const wire::topics_pull& pull);
+    void serve_snapshot(const wire::member_entry& recipient, std::uint32_t redirects);
+    void serve_waiting_daemons();
+    [[nodiscard]] wire::pull_redirect make_redirect(std::vector<wire::member_entry> targets,
+                                                    std::uint32_t redirects) const;
+    void send_snapshot(const wire::member_entry& recipient);
+    void send_update(const wire::member_entry& recipient, topic_state& topic, std::uint64_t from);
+    void send_all_records(const wire::member_entry& recipient, const topic_state& topic);
+    [[nodiscard]] bool may_serve_snapshots() const;
     void handle_snapshot(const wire::topic_snapshot& snapshot);
+    void handle_update(const wire::topic_update& update);
+    void pull_from_others();
+    void fetch_missed_records(topic_state& topic);
 
     // When to read the store.
     void check_staleness();
+    void schedule_check(duration delay);
+    void read_both_topics();
     [[nodiscard]] duration max_staleness() const;
     void start_operators_long_poll();
     [[nodiscard]] bool is_reader() const;
+    // Decides at random whether this daemon calls the store now, so that a few of all daemons do.
+    [[nodiscard]] bool is_chosen_to_call();
 
-    // Messages between daemons.
+    // News.
     void send_to(const std::vector<wire::member_entry>& recipients, const wire::message& body);
-    void forward_within_data_centre(const wire::envelope& received, const vm_id& origin);
+    // Sends a message that starts at this daemon along all trees.
+    void broadcast(const wire::message& body);
     void send_news(topic_state& topic);
     void handle_news(const wire::topic_news& news);
-    double sum_request_rates();
-    void handle_hello(const vm_id& sender, const wire::member_hello& hello);
-    void send_hello(const address& recipient, bool wants_all = false);
-    void send_hello_to_best_ranked();
-    void announce();
-    void list_members();
-    void remove_silent_members();
+    // Remembers a broadcast and returns whether it is new to this daemon.
+    bool first_receipt(std::uint64_t broadcast_id);
     void set_store_unavailable(bool unavailable);
 
+    // Members.
+    void handle_hello(const wire::member_hello& hello);
+    void handle_members(const std::vector<wire::member_entry>& entries);
+    void handle_digests(const wire::member_digests& digests);
+    void send_digests(const wire::member_entry& recipient, bool is_answer);
+    void send_members(const wire::member_entry& recipient,
+                      const std::vector<wire::member_entry>& entries);
+    // Takes over what a daemon says of itself. Whether all daemons are told, or only those to which
+    // this one forwards messages.
+    void introduce(const wire::member_entry& entry, bool everywhere);
+    void spread(const wire::member_entry& entry, bool everywhere);
+    void flush_member_changes();
+    void report_to_parent();
+    void count_missed_reports();
+    void compare_views(std::uint64_t reader_digest);
+    void compare_first_views(std::size_t comparisons_left);
+    [[nodiscard]] double subtree_request_rate();
+    std::vector<wire::member_entry> random_members(std::size_t count);
+
     sharing_settings settings;
     sharing_hooks hooks;
     platform::keyed_topic members_topic;
@@ -103,18 +156,41 @@
     bool store_unavailable = false;
     // This daemon read records of the operators' topic and has not sent them to the others.
     bool operator_records_unsent = false;
+    // When this daemon last read the registrations from the store.
+    std::optional<time_point> own_read_at;
+    std::set<std::uint64_t> seen_broadcasts;
+    std::deque<std::uint64_t> seen_broadcasts_by_age;
     // The best-ranked daemon whose news arrived lately, and when they last arrived.
     std::optional<vm_id> reader;
     time_point reader_heard_at;
     time_point started_at;
-    // The time since which this daemon has been the reader. It is set to the current time at every
-    // check until the daemon is the reader and member_timeout has passed since the start.
-    time_point reader_since;
     bool check_scheduled = false;
-    // The requests per second that each daemon last reported to this one.
-    std::map<vm_id, double> request_rates;
-    // Some daemon's set of known members differs from this one's.
-    bool member_views_differ = false;
+
+    // Start-up.
+    std::vector<address> unasked_seeds;
+    time_point next_request_at{};
+    // When another daemon last answered a request of this one, and the largest number of members
+    // that one has told.
+    time_point peer_answered_at;
+    std::size_t told_member_count = 0;
+    duration load_retry_delay;
+    // Daemons that get a snapshot as soon as this one has it, and those that got one lately.
+    std::vector<wire::member_entry> waiting_daemons;
+    std::deque<wire::member_entry> served_daemons;
+    std::size_t next_served = 0;
+    time_point serving_window_begin;
+    std::size_t served_in_window = 0;
+    // When this daemon asked others for what it missed, unless it was answered with something
+    // newer.
+    std::optional<time_point> pulled_at;
+
+    // Members.
+    std::map<vm_id, child_report> reports;
+    std::map<vm_id, wire::member_entry> pending_changes;
+    bool pending_for_all = false;
+    bool flush_scheduled = false;
+    std::optional<time_point> members_listed_at;
+    bool announced = false;
 };
 
 } // namespace azureshore::sharing
--- a/src/azureshore/sharing/members.cpp
+++ b/src/azureshore/sharing/members.cpp
@@ -3,7 +3,8 @@
 #include "azureshore/core/hash.hpp"
 
 #include <algorithm>
-#include <set>
+#include <array>
+#include <tuple>
 #include <utility>
 
 namespace azureshore::sharing {
@@ -11,6 +12,12 @@
 namespace {
 
 constexpr std::string_view store_reading_task = "read";
+// The tasks whose rank orders are the orders of the trees. The root of a first tree is the
+// best-ranked reader of its data centre.
+constexpr std::array<std::string_view, 2> tree_tasks{store_reading_task, "second tree"};
+// The number of daemons to which one forwards a message in one tree.
+constexpr std::size_t fan_out = 4;
+constexpr std::size_t bucket_count = 64;
 
 // Rendezvous hashing: each task ranks the daemons in an order of its own, which changes as little
 // as possible when daemons join or leave.
@@ -19,90 +26,146 @@
     return stable_hash(name.value, stable_hash(task));
 }
 
-} // namespace
+std::size_t bucket_of(const vm_id& name)
+{
+    return stable_hash(name.value) % bucket_count;
+}
 
-members::members(vm_id own_name, data_centre_id own_data_centre)
-    : self_name(std::move(own_name)), data_centre(std::move(own_data_centre))
+std::uint64_t entry_hash(const wire::member_entry& entry)
 {
+    return stable_hash(entry.name.value,
+                       entry.incarnation * 4 + static_cast<std::uint64_t>(entry.state));
 }
 
-bool members::record_member(time_point now, const wire::member_entry& member)
+} // namespace
+
+members::members(wire::member_entry own) : own_entry(std::move(own)) {}
+
+bool members::merge(time_point now, const wire::member_entry& entry)
 {
-    if (member.name == this->self_name) {
+    if (entry.name == this->own_entry.name) {
+        if (std::tie(entry.incarnation, entry.state) <=
+            std::tie(this->own_entry.incarnation, this->own_entry.state)) {
+            return false;
+        }
+        this->own_entry.incarnation = entry.incarnation + 1;
+        this->cached_orders.reset();
+        return true;
+    }
+    const auto [found, added] = this->known.try_emplace(entry.name);
+    auto& current = found->second;
+    if (!added && std::tie(entry.incarnation, entry.state) <=
+                      std::tie(current.entry.incarnation, current.entry.state)) {
         return false;
     }
-    const auto [found, added] = this->known.try_emplace(member.name);
-    const bool changed =
-        added || found->second.where != member.where || found->second.leaving != member.leaving;
-    found->second = {member.where, member.data_centre, member.leaving, now};
-    return changed;
+    current = {entry, now};
+    this->cached_orders.reset();
+    return true;
 }
 
-bool members::replace_with(time_point now, const std::vector<wire::member_entry>& view)
+std::optional<wire::member_entry> members::declare_gone(time_point now, const vm_id& name)
 {
-    std::set<vm_id> view_names;
-    bool changed = false;
-    for (const auto& each : view) {
-        view_names.insert(each.name);
-        changed = this->record_member(now, each) || changed;
+    const auto found = this->known.find(name);
+    if (found == this->known.end() || found->second.entry.state == wire::member_state::gone) {
+        return std::nullopt;
     }
-    return std::erase_if(this->known,
-                         [&](const auto& each) { return !view_names.contains(each.first); }) > 0 ||
-           changed;
+    found->second.entry.state = wire::member_state::gone;
+    found->second.changed_at = now;
+    this->cached_orders.reset();
+    return found->second.entry;
 }
 
-bool members::remove_silent(time_point heard_before)
+void members::leave()
 {
-    return std::erase_if(this->known, [heard_before](const auto& each) {
-               return each.second.heard_at < heard_before;
-           }) > 0;
+    this->own_entry.state = wire::member_state::leaving;
+    this->cached_orders.reset();
 }
 
-std::size_t members::rank() const
+void members::forget_gone(time_point gone_before)
 {
-    return this->rank_of(this->self_name);
+    std::erase_if(this->known, [gone_before](const auto& each) {
+        return each.second.entry.state == wire::member_state::gone &&
+               each.second.changed_at < gone_before;
+    });
 }
 
-std::size_t members::rank_of(const vm_id& name) const
+members::derived_orders& members::orders() const
 {
-    const auto weight = rank_weight(store_reading_task, name);
-    std::size_t rank =
-        name != this->self_name && rank_weight(store_reading_task, this->self_name) < weight ? 1
-                                                                                             : 0;
-    for (const auto& [other, each] : this->known) {
-        rank += other != name && !each.leaving && rank_weight(store_reading_task, other) < weight
-                    ? 1
-                    : 0;
+    if (!this->cached_orders) {
+        this->cached_orders = this->compute_orders();
     }
-    return rank;
+    return *this->cached_orders;
 }
 
-std::size_t members::local_rank() const
+members::derived_orders members::compute_orders() const
 {
-    const auto weight = rank_weight(store_reading_task, this->self_name);
-    const auto local = this->local_members();
-    return static_cast<std::size_t>(
-        std::count_if(local.begin(), local.end(), [&](const auto& each) {
-            return !each.leaving && rank_weight(store_reading_task, each.name) < weight;
-        }));
+    derived_orders computed;
+    computed.bucket_digests.resize(bucket_count);
+    std::map<data_centre_id, std::vector<std::tuple<bool, std::uint64_t, vm_id>>>
+        weighted[tree_count];
+    const auto add = [&](const wire::member_entry& entry) {
+        if (entry.state == wire::member_state::gone) {
+            return;
+        }
+        computed.bucket_digests[bucket_of(entry.name)] += entry_hash(entry);
+        const bool leaving = entry.state == wire::member_state::leaving;
+        for (std::size_t tree = 0; tree < tree_count; ++tree) {
+            const auto weight = rank_weight(tree_tasks.at(tree), entry.name);
+            // Leaving daemons come last, where they forward nothing.
+            weighted[tree][entry.data_centre].emplace_back(leaving, weight, entry.name);
+            if (tree == 0 && !leaving) {
+                computed.by_rank.emplace_back(weight, entry.name);
+            }
+        }
+    };
+    add(this->own_entry);
+    for (const auto& [name, each] : this->known) {
+        add(each.entry);
+    }
+    std::sort(computed.by_rank.begin(), computed.by_rank.end());
+    for (std::size_t tree = 0; tree < tree_count; ++tree) {
+        for (auto& [data_centre, names] : weighted[tree]) {
+            std::sort(names.begin(), names.end());
+            auto& order = computed.trees[tree][data_centre];
+            for (auto& [leaving, weight, name] : names) {
+                if (name == this->own_entry.name) {
+                    computed.own_place[tree] = order.size();
+                }
+                order.push_back(std::move(name));
+            }
+        }
+    }
+    return computed;
 }
 
-std::size_t members::serving_count() const
+std::size_t members::rank() const
 {
-    return 1 + static_cast<std::size_t>(
-                   std::count_if(this->known.begin(), this->known.end(),
-                                 [](const auto& each) { return !each.second.leaving; }));
+    return this->rank_of(this->own_entry.name);
+}
+
+std::size_t members::rank_of(const vm_id& name) const
+{
+    const auto weight = rank_weight(store_reading_task, name);
+    const auto& by_rank = this->orders().by_rank;
+    const auto found = std::lower_bound(by_rank.begin(), by_rank.end(), std::pair(weight, name));
+    return static_cast<std::size_t>(found - by_rank.begin());
 }
 
 double members::share_of(const std::string& task, std::size_t count) const
 {
-    const auto weight = rank_weight(task, this->self_name);
-    std::size_t rank = 0;
-    for (const auto& [other, each] : this->known) {
-        rank += !each.leaving && rank_weight(task, other) < weight ? 1 : 0;
+    auto& current = this->orders();
+    const auto [found, added] = current.shares.try_emplace({task, count}, 0);
+    if (added) {
+        const auto weight = rank_weight(task, this->own_entry.name);
+        const auto rank = static_cast<std::size_t>(
+            std::count_if(current.by_rank.begin(), current.by_rank.end(), [&](const auto& each) {
+                return each.second != this->own_entry.name &&
+                       rank_weight(task, each.second) < weight;
+            }));
+        const auto sharers = std::min(count, std::max<std::size_t>(this->serving_count(), 1));
+        found->second = rank < sharers ? 1.0 / static_cast<double>(sharers) : 0;
     }
-    const auto sharers = std::min(count, this->serving_count());
-    return rank < sharers ? 1.0 / static_cast<double>(sharers) : 0;
+    return found->second;
 }
 
 std::vector<wire::member_entry> members::others() const
@@ -110,60 +173,126 @@
     std::vector<wire::member_entry> entries;
     entries.reserve(this->known.size());
     for (const auto& [name, each] : this->known) {
-        entries.push_back({name, each.where, each.data_centre, each.leaving});
+        if (each.entry.state != wire::member_state::gone) {
+            entries.push_back(each.entry);
+        }
     }
     return entries;
 }
 
-std::vector<wire::member_entry> members::local_members() const
+std::optional<wire::member_entry> members::find(const vm_id& name) const
 {
-    auto local = this->others();
-    std::erase_if(local, [this](const wire::member_entry& each) {
-        return each.data_centre != this->data_centre;
-    });
-    return local;
+    const auto found = this->known.find(name);
+    return this->contains(name) ? std::optional(found->second.entry) : std::nullopt;
 }
 
-std::vector<wire::member_entry> members::remote_relays() const
+std::optional<wire::member_entry> members::last_entry(const vm_id& name) const
 {
-    std::map<data_centre_id, wire::member_entry> relays;
-    for (const auto& each : this->others()) {
-        if (each.data_centre == this->data_centre || each.leaving) {
-            continue;
-        }
-        const auto [found, added] = relays.try_emplace(each.data_centre, each);
-        if (!added && rank_weight(store_reading_task, each.name) <
-                          rank_weight(store_reading_task, found->second.name)) {
-            found->second = each;
-        }
+    const auto found = this->known.find(name);
+    return found == this->known.end() ? std::nullopt : std::optional(found->second.entry);
+}
+
+bool members::contains(const vm_id& name) const
+{
+    const auto found = this->known.find(name);
+    return found != this->known.end() && found->second.entry.state != wire::member_state::gone;
+}
+
+void members::add_entry(std::vector<wire::member_entry>& entries, const vm_id& name) const
+{
+    const bool present = std::any_of(entries.begin(), entries.end(),
+                                     [&name](const auto& each) { return each.name == name; });
+    if (name != this->own_entry.name && !present) {
+        entries.push_back(this->known.at(name).entry);
     }
+}
+
+std::vector<wire::member_entry> members::children_in(std::size_t tree) const
+{
     std::vector<wire::member_entry> entries;
-    entries.reserve(relays.size());
-    for (const auto& [name, relay] : relays) {
-        entries.push_back(relay);
+    const auto& current = this->orders();
+    const auto& order = current.trees[tree].at(this->own_entry.data_centre);
+    const auto first = current.own_place[tree] * fan_out + 1;
+    for (auto place = first; place < std::min(first + fan_out, order.size()); ++place) {
+        this->add_entry(entries, order[place]);
     }
     return entries;
 }
 
-bool members::is_local(const vm_id& name) const
+std::vector<wire::member_entry> members::children() const
 {
-    const auto found = this->known.find(name);
-    return found != this->known.end() && found->second.data_centre == this->data_centre;
+    auto entries = this->children_in(0);
+    for (const auto& each : this->children_in(1)) {
+        this->add_entry(entries, each.name);
+    }
+    return entries;
 }
 
-std::optional<address> members::find(const vm_id& name) const
+std::vector<wire::member_entry> members::reporting_children() const
 {
-    const auto found = this->known.find(name);
-    return found == this->known.end() ? std::nullopt : std::optional(found->second.where);
+    return this->children_in(0);
+}
+
+std::optional<wire::member_entry> members::parent() const
+{
+    const auto& current = this->orders();
+    const auto place = current.own_place[0];
+    if (place == 0) {
+        return std::nullopt;
+    }
+    const auto& order = current.trees[0].at(this->own_entry.data_centre);
+    return this->known.at(order[(place - 1) / fan_out]).entry;
+}
+
+std::vector<wire::member_entry> members::roots_of(std::size_t tree) const
+{
+    std::vector<wire::member_entry> entries;
+    for (const auto& [data_centre, order] : this->orders().trees[tree]) {
+        this->add_entry(entries, order.front());
+    }
+    return entries;
+}
+
+std::vector<wire::member_entry> members::roots() const
+{
+    auto entries = this->roots_of(0);
+    for (const auto& each : this->roots_of(1)) {
+        this->add_entry(entries, each.name);
+    }
+    return entries;
+}
+
+std::vector<wire::member_entry> members::reporting_roots() const
+{
+    return this->roots_of(0);
 }
 
 std::uint64_t members::digest() const
 {
-    auto digest = stable_hash(this->self_name.value);
+    std::uint64_t sum = 0;
+    for (const auto bucket_digest : this->orders().bucket_digests) {
+        sum += bucket_digest;
+    }
+    return sum;
+}
+
+std::vector<std::uint64_t> members::bucket_digests() const
+{
+    return this->orders().bucket_digests;
+}
+
+std::vector<wire::member_entry> members::bucket(std::size_t index) const
+{
+    std::vector<wire::member_entry> entries;
+    if (bucket_of(this->own_entry.name) == index) {
+        entries.push_back(this->own_entry);
+    }
     for (const auto& [name, each] : this->known) {
-        digest += stable_hash(name.value, each.leaving ? 1 : 0);
+        if (bucket_of(name) == index) {
+            entries.push_back(each.entry);
+        }
     }
-    return digest;
+    return entries;
 }
 
 } // namespace azureshore::sharing
--- a/src/azureshore/sharing/members.hpp
+++ b/src/azureshore/sharing/members.hpp
@@ -9,71 +9,105 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
+#include <utility>
 #include <vector>
 
 namespace azureshore::sharing {
 
-// The daemons of the deployment that one of them knows, and the rank order in which they take over
-// tasks that one daemon does on behalf of all.
+// The daemons of the deployment that one of them knows, the rank order in which they take over
+// tasks that one daemon does on behalf of all, and the trees along which they forward messages.
+//
+// Each data centre has two trees with different orders, so that a daemon whose parent in one of
+// them has died still gets a message through the other one.
 class members {
 public:
-    members(vm_id own_name, data_centre_id own_data_centre);
+    explicit members(wire::member_entry own_entry);
 
-    // Records that a daemon was heard from, directly or through another one. Returns whether it is
-    // new or its address or leaving state has changed.
-    bool record_member(time_point now, const wire::member_entry& member);
+    // Takes over an entry if it is newer than what is known of that daemon. Returns whether it was.
+    // An entry that declares this daemon itself gone is contradicted by a higher incarnation.
+    bool merge(time_point now, const wire::member_entry& entry);
 
-    // Replaces the known daemons by another daemon's view and removes those that the view lacks.
-    // Returns whether anything changed.
-    bool replace_with(time_point now, const std::vector<wire::member_entry>& view);
+    // Declares a daemon gone. Returns its new entry, or nothing if it was not known or gone
+    // already.
+    std::optional<wire::member_entry> declare_gone(time_point now, const vm_id& name);
 
-    // Removes the daemons that were last heard from before a time. Returns whether there were any.
-    bool remove_silent(time_point heard_before);
+    // Declares that this daemon is leaving.
+    void leave();
+
+    // Forgets the daemons that have been gone since before a time.
+    void forget_gone(time_point gone_before);
+
+    [[nodiscard]] const wire::member_entry& self() const { return this->own_entry; }
 
     // Returns this daemon's rank, counted from zero, among those that may read the store for all.
     [[nodiscard]] std::size_t rank() const;
     [[nodiscard]] std::size_t rank_of(const vm_id& name) const;
 
-    // Returns this daemon's rank among the daemons of its own data centre.
-    [[nodiscard]] std::size_t local_rank() const;
-
-    // Returns the other daemons in this daemon's data centre.
-    [[nodiscard]] std::vector<wire::member_entry> local_members() const;
-
-    // Returns the best-ranked daemon of every data centre but this daemon's. Each of them forwards
-    // messages to the other daemons in its data centre.
-    [[nodiscard]] std::vector<wire::member_entry> remote_relays() const;
-
-    // Returns whether a daemon is known and in the same data centre as this one.
-    [[nodiscard]] bool is_local(const vm_id& name) const;
-
     // Returns the number of daemons that are not leaving, including this one.
-    [[nodiscard]] std::size_t serving_count() const;
+    [[nodiscard]] std::size_t serving_count() const { return this->orders().by_rank.size(); }
 
     // Returns this daemon's share, between 0 and 1, of a task that the first `count` daemons in the
     // task's own rank order share equally.
     [[nodiscard]] double share_of(const std::string& task, std::size_t count) const;
 
+    // Returns the other daemons that are not gone.
     [[nodiscard]] std::vector<wire::member_entry> others() const;
-    [[nodiscard]] std::optional<address> find(const vm_id& name) const;
-    [[nodiscard]] bool contains(const vm_id& name) const { return this->known.contains(name); }
-
-    // Returns a hash of all daemons, including this one, and of which are leaving. Daemons with
-    // equal views get the same hash.
+    [[nodiscard]] std::optional<wire::member_entry> find(const vm_id& name) const;
+    // Returns the last entry of a daemon, also if it is gone.
+    [[nodiscard]] std::optional<wire::member_entry> last_entry(const vm_id& name) const;
+    // Returns whether a daemon is known and not gone.
+    [[nodiscard]] bool contains(const vm_id& name) const;
+
+    // Returns the daemons to which this one forwards messages, over both trees.
+    [[nodiscard]] std::vector<wire::member_entry> children() const;
+    // Returns the children in the first tree alone, over which daemons report to their parents.
+    [[nodiscard]] std::vector<wire::member_entry> reporting_children() const;
+    // Returns this daemon's parent in the first tree, or nothing if it is a root.
+    [[nodiscard]] std::optional<wire::member_entry> parent() const;
+    // Returns the roots of both trees of every data centre, except this daemon.
+    [[nodiscard]] std::vector<wire::member_entry> roots() const;
+    // Returns the roots of the first trees alone, except this daemon.
+    [[nodiscard]] std::vector<wire::member_entry> reporting_roots() const;
+
+    // Returns a hash of all daemons that are not gone. Daemons with equal views get the same hash.
     [[nodiscard]] std::uint64_t digest() const;
+    // Returns such a hash for each bucket of daemons, and the entries of one bucket, including
+    // those of daemons that are gone.
+    [[nodiscard]] std::vector<std::uint64_t> bucket_digests() const;
+    [[nodiscard]] std::vector<wire::member_entry> bucket(std::size_t index) const;
 
 private:
-    struct entry {
-        address where;
-        data_centre_id data_centre;
-        bool leaving = false;
-        time_point heard_at;
+    static constexpr std::size_t tree_count = 2;
+
+    struct known_member {
+        wire::member_entry entry;
+        time_point changed_at{};
     };
+    // The names of a data centre's daemons in the order of one tree, the root first.
+    using tree_order = std::vector<vm_id>;
+
+    // What follows from the entries. Computed when it is needed after a change.
+    struct derived_orders {
+        // The serving daemons with their weights, the first-ranked one first.
+        std::vector<std::pair<std::uint64_t, vm_id>> by_rank;
+        std::map<data_centre_id, tree_order> trees[tree_count];
+        // This daemon's place in the trees of its data centre.
+        std::size_t own_place[tree_count] = {0, 0};
+        std::vector<std::uint64_t> bucket_digests;
+        std::map<std::pair<std::string, std::size_t>, double> shares;
+    };
+
+    [[nodiscard]] derived_orders& orders() const;
+    [[nodiscard]] derived_orders compute_orders() const;
+    [[nodiscard]] std::vector<wire::member_entry> children_in(std::size_t tree) const;
+    [[nodiscard]] std::vector<wire::member_entry> roots_of(std::size_t tree) const;
+    void add_entry(std::vector<wire::member_entry>& entries, const vm_id& name) const;
 
-    vm_id self_name;
-    data_centre_id data_centre;
-    // All daemons but this one.
-    std::map<vm_id, entry> known;
+    wire::member_entry own_entry;
+    // All daemons but this one, including those that are gone.
+    std::map<vm_id, known_member> known;
+    mutable std::optional<derived_orders> cached_orders;
 };
 
 } // namespace azureshore::sharing
--- a/src/azureshore/sharing/store_sharing.hpp
+++ b/src/azureshore/sharing/store_sharing.hpp
@@ -20,14 +20,16 @@
     duration apply_within = std::chrono::seconds(2);
     // Daemons that are asked for a snapshot at the start, in case the store does not answer.
     std::vector<address> seeds;
+    // Grows with each start of this daemon, such as the time of the start.
+    std::uint64_t incarnation = 0;
 };
 
 struct sharing_hooks {
     std::function<time_point()> clock;
     // Runs an action after a delay, on the same thread.
     std::function<void(duration, std::function<void()>)> after;
-    // Sends a message to another daemon. The message may be lost.
-    std::function<void(const address& recipient, const wire::message&)> send;
+    // Sends a message to other daemons. The message may be lost.
+    std::function<void(const std::vector<address>& recipients, const wire::message&)> send;
     // Writes this daemon's announcement to the store; `done` receives whether that succeeded.
     std::function<void(const std::string& announcement, std::function<void(bool)> done)> announce;
     // Replaces all that is known of a topic by the newest record of every key.
@@ -55,13 +57,18 @@
 
 // Lets one daemon, the reader, read the platform's store for all daemons, because each call to the
 // store is charged for. The daemons are ranked by rendezvous hashing, and the first one in this
-// order is the reader. It sends what it has read to the others in news messages, which they answer
-// with a hello. For each other data centre, a news message is sent only once, to one daemon, which
-// forwards it to the other daemons there.
+// order is the reader. It sends what it has read in news messages, which travel along two trees in
+// each data centre, so that no daemon sends more than a few copies. Each daemon answers a news
+// message with a hello to its parent in the first tree, which declares it gone when none comes.
 //
-// A daemon that receives no news message for a fraction of `apply_within` reads the store itself.
-// The better its rank, the shorter it waits. The best-ranked daemons that read the store send what
-// they read to the others. The daemons need not agree on which one is the reader: two readers only
+// A daemon that starts asks a seed for a snapshot, which redirects it when it has others to serve,
+// so that a snapshot spreads like a tree too. Views of the members are compared by digests, and
+// only what differs is sent.
+//
+// A daemon that receives no news message for a fraction of `apply_within` reads the store itself if
+// it is one of the first in rank order. The others ask two daemons for what they have missed first.
+// If those have missed it too, a few daemons at random read the store; a daemon that gets no answer
+// reads it in any case. The daemons need not agree on which one is the reader: two readers only
 // cost more calls. All calls must come from one thread.
 class store_sharing {
 public:
--- a/src/azureshore/wire/internal/fields.hpp
+++ b/src/azureshore/wire/internal/fields.hpp
@@ -72,13 +72,17 @@
 
 AZURESHORE_FIELDS(shared_record, m.offset, m.key, m.value);
 AZURESHORE_FIELDS(topic_news, m.reader, m.topic, m.from, m.next, m.records, m.operators_next,
-                  m.members_digest, m.request_rate);
-AZURESHORE_FIELDS(member_hello, m.where, m.data_centre, m.members_digest, m.leaving, m.wants_all,
-                  m.request_rate);
+                  m.members_digest, m.request_rate, m.ends_round, m.broadcast_id);
+AZURESHORE_FIELDS(member_hello, m.sender, m.members_digest, m.request_rate);
 AZURESHORE_FIELDS(topic_snapshot, m.topic, m.next, m.age, m.part, m.parts, m.records);
-AZURESHORE_FIELDS(member_entry, m.name, m.where, m.data_centre, m.leaving);
-AZURESHORE_FIELDS(member_list, m.reader, m.members);
-AZURESHORE_FIELDS(crash_suspicion, m.fingerprint);
+AZURESHORE_FIELDS(member_entry, m.name, m.where, m.data_centre, m.incarnation, m.state);
+AZURESHORE_FIELDS(member_changes, m.members);
+AZURESHORE_FIELDS(member_digests, m.sender, m.buckets, m.is_answer);
+AZURESHORE_FIELDS(topics_pull, m.sender, m.operators_next, m.registrations_next, m.wants_snapshot,
+                  m.redirects);
+AZURESHORE_FIELDS(topic_update, m.topic, m.from, m.next, m.age, m.records);
+AZURESHORE_FIELDS(pull_redirect, m.targets, m.redirects, m.member_count);
+AZURESHORE_FIELDS(crash_suspicion, m.fingerprint, m.broadcast_id);
 
 #undef AZURESHORE_FIELDS
 
@@ -130,6 +134,17 @@
     return false;
 }
 
+constexpr bool is_known(member_state value)
+{
+    switch (value) {
+    case member_state::serving:
+    case member_state::leaving:
+    case member_state::gone:
+        return true;
+    }
+    return false;
+}
+
 constexpr bool is_known(usage value)
 {
     switch (value) {
--- a/src/azureshore/wire/message.cpp
+++ b/src/azureshore/wire/message.cpp
@@ -15,7 +15,8 @@
     "permit_refusal",     "permit_return",  "permit_report",       "configuration_records",
     "configuration_pull", "suspicion",      "configuration_state", "configuration_notice",
     "permit_queued",      "leader_claim",   "run_group",           "topic_news",
-    "member_hello",       "member_list",    "crash_suspicion",     "topic_snapshot"};
+    "member_hello",       "member_changes", "crash_suspicion",     "topic_snapshot",
+    "member_digests",     "topics_pull",    "topic_update",        "pull_redirect"};
 
 constexpr std::uint32_t envelope_parts = 4;
 
--- a/src/azureshore/wire/message.hpp
+++ b/src/azureshore/wire/message.hpp
@@ -23,7 +23,8 @@
     std::variant<heartbeat, permit_request, permit_cancel, permit_grant, permit_refusal,
                  permit_return, permit_report, configuration_records, configuration_pull, suspicion,
                  configuration_state, configuration_notice, permit_queued, leader_claim, run_group,
-                 topic_news, member_hello, member_list, crash_suspicion, topic_snapshot>;
+                 topic_news, member_hello, member_changes, crash_suspicion, topic_snapshot,
+                 member_digests, topics_pull, topic_update, pull_redirect>;
 
 // A message with its sender.
 struct envelope {
@@ -34,7 +35,7 @@
 };
 
 // Version of the encoding; a message of another version is refused as malformed.
-constexpr std::uint8_t protocol_version = 1;
+constexpr std::uint8_t protocol_version = 2;
 
 // Largest encoded message in bytes; a larger one is neither sent nor read.
 constexpr std::size_t max_message_bytes = 1024UL * 1024UL;
--- a/src/azureshore/wire/sharing_messages.hpp
+++ b/src/azureshore/wire/sharing_messages.hpp
@@ -24,8 +24,8 @@
     bool operator==(const shared_record&) const = default;
 };
 
-// What a daemon has read: the records in [from, next) that change anything. The first receiver in
-// another data centre passes them on to the daemons there.
+// What a daemon has read: the records in [from, next) that change anything. Each receiver forwards
+// it along the broadcast trees.
 struct topic_news {
     // The daemon that read.
     vm_id reader;
@@ -39,6 +39,10 @@
     std::uint64_t members_digest = 0;
     // Requests a second that all daemons get together.
     double request_rate = 0;
+    // Whether this is the last message of what was read at once. Receivers answer this one.
+    bool ends_round = true;
+    // Random; each daemon handles and forwards the message once.
+    std::uint64_t broadcast_id = 0;
 
     bool operator==(const topic_news&) const = default;
 };
@@ -56,40 +60,88 @@
     bool operator==(const topic_snapshot&) const = default;
 };
 
-// The sender lives; sent to all at its start and its end, and to the reader after its news.
-struct member_hello {
+// The order matters: of two entries of one incarnation, the one with the later state is newer.
+enum class member_state : std::uint8_t { serving, leaving, gone };
+
+struct member_entry {
+    vm_id name;
     address where;
     data_centre_id data_centre;
+    // Grows with each start of the daemon, and when it contradicts what others say of it.
+    std::uint64_t incarnation = 0;
+    member_state state = member_state::serving;
+
+    bool operator==(const member_entry&) const = default;
+};
+
+// The sender lives. Sent to its parent in the broadcast tree after each news message.
+struct member_hello {
+    member_entry sender;
     std::uint64_t members_digest = 0;
-    bool leaving = false;
-    // The sender has just started and asks for all that the receiver knows.
-    bool wants_all = false;
-    // Requests a second that the sender gets.
+    // Requests a second that the sender and all daemons below it in the broadcast tree get.
     double request_rate = 0;
 
     bool operator==(const member_hello&) const = default;
 };
 
-struct member_entry {
-    vm_id name;
-    address where;
-    data_centre_id data_centre;
-    bool leaving = false;
+// Entries that may be new to the receiver.
+struct member_changes {
+    std::vector<member_entry> members;
 
-    bool operator==(const member_entry&) const = default;
+    bool operator==(const member_changes&) const = default;
 };
 
-// The daemons that the sender, which reads for all, has heard of lately.
-struct member_list {
-    vm_id reader;
-    std::vector<member_entry> members;
+// Digests of the sender's view by bucket of names. The receiver answers with its entries of the
+// buckets that differ and, unless this message is an answer itself, with its own digests.
+struct member_digests {
+    member_entry sender;
+    std::vector<std::uint64_t> buckets;
+    bool is_answer = false;
+
+    bool operator==(const member_digests&) const = default;
+};
+
+// Asks for what the receiver knows of the topics beyond these offsets.
+struct topics_pull {
+    member_entry sender;
+    std::uint64_t operators_next = 0;
+    std::uint64_t registrations_next = 0;
+    // The sender has just started and knows neither the topics nor the members.
+    bool wants_snapshot = false;
+    // How often this request has been redirected.
+    std::uint32_t redirects = 0;
+
+    bool operator==(const topics_pull&) const = default;
+};
+
+// The answer to a pull: the records in [from, next) that change anything.
+struct topic_update {
+    shared_topic topic = shared_topic::registrations;
+    std::uint64_t from = 0;
+    std::uint64_t next = 0;
+    // How long ago the sender's knowledge was as new as the store's.
+    duration age{};
+    std::vector<shared_record> records;
+
+    bool operator==(const topic_update&) const = default;
+};
+
+// The sender has no capacity for a snapshot; these daemons have or will have one. If there are
+// none, the sender sends its snapshot as soon as it has one.
+struct pull_redirect {
+    std::vector<member_entry> targets;
+    std::uint32_t redirects = 0;
+    // The number of daemons that the sender has heard of.
+    std::uint32_t member_count = 0;
 
-    bool operator==(const member_list&) const = default;
+    bool operator==(const pull_redirect&) const = default;
 };
 
 // A backend server's process ended while it ran a request with this fingerprint.
 struct crash_suspicion {
     std::uint64_t fingerprint = 0;
+    // Random; each daemon counts and forwards the crash once.
+    std::uint64_t broadcast_id = 0;
 
     bool operator==(const crash_suspicion&) const = default;
 };
--- a/tests/sharing/sharing_cluster.hpp
+++ b/tests/sharing/sharing_cluster.hpp
@@ -35,6 +35,7 @@
     // Names of daemons whose calls get no answer. "*" stands for all daemons.
     std::set<std::string> unanswered_callers;
     std::uint64_t calls = 0;
+    std::map<std::string, std::uint64_t> calls_by;
     // Whether a waiting read is answered when a record arrives, instead of at its timeout.
     bool wakes_waiting_reads = true;
 
@@ -76,6 +77,10 @@
     // Returns the newest value of a key that a daemon knows, or an empty string if there is none.
     [[nodiscard]] std::string known_value(std::size_t daemon, wire::shared_topic topic,
                                           const std::string& key) const;
+    // Returns how many running daemons have loaded both topics and know this value of a key.
+    [[nodiscard]] std::size_t count_knowing(wire::shared_topic topic, const std::string& key,
+                                            const std::string& value) const;
+    [[nodiscard]] std::size_t running_count() const;
     [[nodiscard]] const sharing::members& members_of(std::size_t daemon) const;
     sharing::store_sharing& sharing_of(std::size_t daemon)
     {
@@ -90,6 +95,10 @@
     // Daemons to and from which no messages are delivered.
     std::set<std::size_t> disconnected;
     std::uint64_t messages_sent = 0;
+    std::uint64_t messages_between_data_centres = 0;
+    std::vector<std::uint64_t> messages_sent_by;
+    // How often each daemon was told of a suspected crash.
+    std::vector<std::size_t> crash_suspicions;
     // How often a daemon reported the store as unavailable.
     std::size_t unavailable_reports = 0;
 
