Bound the memory for answers that are being read

Cause: an answer was held whole up to 32 MiB, and nothing bounded all of them together. Backend servers in trouble that send a body without end take 32 MiB for each request until the route's timeout; five of them end a daemon with 160 MB. An answer over the limits also counted as a crash of its server, so that two of them blocked the request.

Change: all answers that are being read share 64 MiB. One of more than 64 KiB takes at most what is left of 40 MiB, so the largest answer is 20 MiB now. One that is too large ends its attempt as answer_too_large, which is logged and counts as a failure of the server, not as a crash. The metric azureshore_held_answer_bytes shows what is held.

--- a/src/azureshore/balance/dispatch_types.hpp
+++ b/src/azureshore/balance/dispatch_types.hpp
@@ -70,6 +70,8 @@
     // Whether the connection closed or the bytes were not a valid answer, as when a process
     // crashes.
     bool connection_lost = false;
+    // Whether the answer was broken off because it became too large to hold.
+    bool answer_too_large = false;
     std::optional<load_report> load;
 };
 
--- a/src/azureshore/balance/internal/attempts.cpp
+++ b/src/azureshore/balance/internal/attempts.cpp
@@ -143,6 +143,7 @@
                {"backend", ended_attempt.backend.value},
                {"end", result.end == attempt_end::answered  ? "answered"
                        : result.end == attempt_end::not_run ? "not_run"
+                       : result.answer_too_large            ? "answer_too_large"
                                                             : "unknown"},
                {"status", std::to_string(result.status)},
                {"ms", format_decimal(to_milliseconds(now - ended_attempt.sent_at))}});
--- a/src/azureshore/gateway/backend_pool.cpp
+++ b/src/azureshore/gateway/backend_pool.cpp
@@ -134,6 +134,7 @@
     }
 
     std::uint64_t opened = 0;
+    std::shared_ptr<detail::answer_memory> memory = std::make_shared<detail::answer_memory>();
 
 private:
     struct held_connection {
@@ -174,8 +175,8 @@
     {
         ++this->opened;
         return std::make_shared<backend_connection>(
-            this->executor,
-            asio::ip::tcp::endpoint(asio::ip::make_address(where.host), where.port));
+            this->executor, asio::ip::tcp::endpoint(asio::ip::make_address(where.host), where.port),
+            this->memory);
     }
 
     void keep(const backend_id& backend, const connection_ptr& connection)
@@ -243,6 +244,7 @@
         if (result.end != exchange_end::answered) {
             ended.end = balance::attempt_end::unknown;
             ended.connection_lost = result.end == exchange_end::broken;
+            ended.answer_too_large = result.end == exchange_end::too_large;
             return ended;
         }
         const auto& answer = result.answer;
@@ -297,6 +299,11 @@
     this->inner->forget(backend);
 }
 
+std::size_t backend_pool::held_bytes() const
+{
+    return this->inner->memory->held_bytes();
+}
+
 std::uint64_t backend_pool::opened() const
 {
     return this->inner->opened;
--- a/src/azureshore/gateway/backend_pool.hpp
+++ b/src/azureshore/gateway/backend_pool.hpp
@@ -47,6 +47,9 @@
     // Connections that were opened so far.
     [[nodiscard]] std::uint64_t opened() const;
 
+    // Bytes of answers that are being read.
+    [[nodiscard]] std::size_t held_bytes() const;
+
 private:
     class state;
     std::shared_ptr<state> inner;
--- a/src/azureshore/gateway/gateway.cpp
+++ b/src/azureshore/gateway/gateway.cpp
@@ -73,6 +73,8 @@
         counters.add("azureshore_second_sends_total", {}, counted.second_sends);
         counters.add("azureshore_probes_total", {}, counted.probes);
         counters.add("azureshore_backend_connections_opened_total", {}, this->pool.opened());
+        counters.set("azureshore_held_answer_bytes", {},
+                     static_cast<double>(this->pool.held_bytes()));
         auto text = counters.to_text();
         this->times.write(text);
         return text;
--- a/src/azureshore/gateway/internal/backend_connection.cpp
+++ b/src/azureshore/gateway/internal/backend_connection.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 // A whole answer is held until it is sent on; larger ones are broken off.
-constexpr http1::reader_limits answer_limits{64UL * 1024UL, 32UL * 1024UL * 1024UL};
+constexpr http1::reader_limits answer_limits{64UL * 1024UL, answer_memory::max_bytes_for_large / 2};
 // Bytes that stay unacknowledged for this long end a connection: its peer has no power or no path.
 constexpr int unacknowledged_ms = 2000;
 constexpr duration connect_limit = std::chrono::milliseconds(1000);
@@ -19,9 +19,10 @@
 } // namespace
 
 backend_connection::backend_connection(asio::io_context& executor,
-                                       const asio::ip::tcp::endpoint& peer)
+                                       const asio::ip::tcp::endpoint& peer,
+                                       std::shared_ptr<answer_memory> memory)
     : socket(executor), where(peer), timer(executor),
-      reader(http1::message_kind::response, answer_limits)
+      reader(http1::message_kind::response, answer_limits), memory_share(std::move(memory))
 {
 }
 
@@ -100,6 +101,10 @@
         this->close();
         return;
     }
+    if (!this->memory_share.grow(count)) {
+        this->finish(exchange_end::too_large, {});
+        return;
+    }
     this->pending.append(this->buffer.data(), count);
     this->take_answers();
     if (!this->closed) {
@@ -116,9 +121,11 @@
             return;
         }
         if (this->reader.state() != http1::read_state::complete) {
-            this->finish(exchange_end::broken, {});
+            const bool too_large = this->reader.state() != http1::read_state::malformed;
+            this->finish(too_large ? exchange_end::too_large : exchange_end::broken, {});
             return;
         }
+        this->memory_share.release();
         auto answer = this->reader.take_response();
         this->keep = this->keep && answer.keep_alive;
         if (this->current->matches(answer)) {
@@ -155,6 +162,7 @@
 void backend_connection::finish(exchange_end end, http1::response answer)
 {
     this->timer.cancel();
+    this->memory_share.release();
     auto done = std::move(this->current->done);
     this->current.reset();
     if (end != exchange_end::answered || !this->keep) {
@@ -181,6 +189,7 @@
         return;
     }
     this->closed = true;
+    this->memory_share.release();
     asio::error_code ignored;
     this->socket.close(ignored);
     this->timer.cancel();
--- a/src/azureshore/gateway/internal/backend_connection.hpp
+++ b/src/azureshore/gateway/internal/backend_connection.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "azureshore/core/time.hpp"
+#include "azureshore/gateway/internal/answer_memory.hpp"
 #include "azureshore/http1/message_reader.hpp"
 
 #include <asio/ip/tcp.hpp>
@@ -22,6 +23,8 @@
     not_connected,
     // The connection ended, or carried bytes that are no answer.
     broken,
+    // The answer is larger than this daemon can hold.
+    too_large,
     timed_out,
 };
 
@@ -48,7 +51,8 @@
 // no exchange runs belong to no request, and close it.
 class backend_connection : public std::enable_shared_from_this<backend_connection> {
 public:
-    backend_connection(asio::io_context& executor, const asio::ip::tcp::endpoint& peer);
+    backend_connection(asio::io_context& executor, const asio::ip::tcp::endpoint& peer,
+                       std::shared_ptr<answer_memory> memory);
 
     // Connects first if need be. `done` is called once, never from within.
     void start(exchange next);
@@ -79,6 +83,7 @@
     http1::message_reader reader;
     std::array<char, 8192> buffer{};
     std::string pending;
+    answer_memory::share memory_share;
     std::optional<exchange> current;
     bool connected = false;
     bool closed = false;
