Let restarted daemons meet through the store while the seeds are away

Cause: after a loss of all power the seeds may be the last ones back.

Ruled out: shorter waits alone (376 ms, the seeds are back 300 ms late); every daemon listing the topics (three calls for each daemon).

Change: a daemon that restarts and gets no answer within 80 ms lists the daemons that announced themselves and asks those, one call; an announced daemon lists the topics. At the first start of a deployment, which the setting peers.first_start tells, nobody does. A daemon that finds no other one no longer counts itself as the only one at once, and until it knows the others it assumes 512 daemons, not 16, for its share of the bounds. The daemons of best rank take over from the reader in steps of 0.025 of the bound, before the others ask around.

--- a/src/azureshore/daemon/gateway_daemon.cpp
+++ b/src/azureshore/daemon/gateway_daemon.cpp
@@ -31,8 +31,9 @@
 constexpr duration stop_check = std::chrono::milliseconds(50);
 // Daemons that may send to one cold backend server: a second takes over at once when one ends.
 constexpr std::size_t cold_sharers = 2;
-// Until daemons know of each other, each assumes as many as a deployment has today.
-constexpr std::size_t usual_daemons = 16;
+// Until a daemon knows the others, it assumes this many, so that its share of the common bounds is
+// not too large for a large deployment.
+constexpr std::size_t assumed_daemons = 512;
 constexpr int status_ok = 200;
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
@@ -167,8 +168,9 @@
 
     void share_bounds()
     {
-        this->gateway.decisions().set_fleet(usual_daemons,
-                                            [](const backend_id&) { return 1.0 / usual_daemons; });
+        this->gateway.decisions().set_fleet(assumed_daemons, [](const backend_id&) {
+            return 1.0 / static_cast<double>(assumed_daemons);
+        });
     }
 
     void flush_log()
--- a/src/azureshore/daemon/internal/gateway_store.cpp
+++ b/src/azureshore/daemon/internal/gateway_store.cpp
@@ -40,7 +40,7 @@
       registry(this->registry_hooks()), timer(context),
       socket(context, settings.peers, [this](std::string_view bytes) { this->received(bytes); }),
       sharing({settings.name, settings.peers, settings.data_centre, settings.apply_within,
-               peers_of(settings), start_time()},
+               peers_of(settings), settings.first_start, start_time()},
               this->shared_topics(), this->sharing_hooks())
 {
 }
--- a/src/azureshore/settings/assign.hpp
+++ b/src/azureshore/settings/assign.hpp
@@ -60,4 +60,11 @@
     };
 }
 
+inline assigner to_flag(bool& target)
+{
+    return [&target](const found_value& value) {
+        target = value.flag;
+    };
+}
+
 } // namespace azureshore::settings
--- a/src/azureshore/settings/gateway_settings.cpp
+++ b/src/azureshore/settings/gateway_settings.cpp
@@ -30,6 +30,11 @@
          "Daemons to ask at the start when the store does not answer; they are asked at the port "
          "of `listen.peers`.",
          to_addresses(target.seeds)},
+        {"peers.first_start", value_kind::flag, false, "false", 0, 0,
+         "Whether the whole deployment starts for the first time, so that nobody can be found "
+         "through "
+         "the store yet.",
+         to_flag(target.first_start)},
         {"store.address", value_kind::address, true, "", 0, 0, "The platform's store.",
          to_address(target.store)},
     };
--- a/src/azureshore/settings/gateway_settings.hpp
+++ b/src/azureshore/settings/gateway_settings.hpp
@@ -28,6 +28,8 @@
 
     // Hosts of daemons that may be asked at the start; their ports are not used.
     std::vector<address> seeds;
+    // Whether the whole deployment starts for the first time.
+    bool first_start = false;
 
     address store;
     duration store_timeout = std::chrono::milliseconds(600);
--- a/src/azureshore/sharing/internal/joining.cpp
+++ b/src/azureshore/sharing/internal/joining.cpp
@@ -8,12 +8,20 @@
 
 namespace {
 
-// How long a daemon that starts waits for one daemon before it asks the next one.
-constexpr duration seed_timeout = std::chrono::milliseconds(200);
+// How long a daemon that starts waits for one daemon before it asks the next one. The time doubles
+// from the first to the second of these: after a loss of all power the seeds are back within
+// moments.
+constexpr duration first_seed_timeout = std::chrono::milliseconds(40);
+constexpr duration max_seed_timeout = std::chrono::milliseconds(200);
 // A daemon that starts asks nobody else for this long after another daemon told it to wait.
 constexpr duration wait_patience = std::chrono::milliseconds(500);
 // This long after its start, a daemon without an answer looks for the others in the store.
 constexpr duration seeds_timeout = std::chrono::milliseconds(500);
+// After a loss of all power the seeds may be back later than others. A daemon that restarts and
+// gets no answer within this time asks those that announced themselves in the store.
+constexpr duration early_lookup_delay = std::chrono::milliseconds(80);
+// A daemon that finds no other one announced counts as alone from this long after its start.
+constexpr duration alone_after = std::chrono::milliseconds(400);
 // The time between two attempts of a daemon to load the topics without its seeds doubles from the
 // first to the second of these.
 constexpr duration first_load_retry_delay = std::chrono::milliseconds(400);
@@ -59,10 +67,18 @@
     this->started_at = this->now();
     this->peer_answered_at = this->now() - std::chrono::hours(1);
     this->load_retry_delay = first_load_retry_delay;
+    this->seed_timeout = first_seed_timeout;
     if (this->is_seed()) {
         this->list_unlisted_topics();
     }
     this->ask_next_seed();
+    if (!this->settings.first_start && !this->is_seed()) {
+        this->run_after(this->jittered(early_lookup_delay), [](state& self) {
+            if (!self.topics_listed() && self.peer_answered_at < self.started_at) {
+                self.list_members();
+            }
+        });
+    }
     this->run_after(this->jittered(seeds_timeout), [](state& self) { self.load_without_seeds(); });
 }
 
@@ -83,12 +99,13 @@
         this->unasked_seeds.erase(chosen);
         this->request_snapshot(seed, 0);
     }
-    this->run_after(this->jittered(seed_timeout), [](state& self) { self.ask_next_seed(); });
+    this->run_after(this->jittered(this->seed_timeout), [](state& self) { self.ask_next_seed(); });
+    this->seed_timeout = std::min(this->seed_timeout * 2, max_seed_timeout);
 }
 
 void store_sharing::state::request_snapshot(const address& recipient, std::uint32_t redirects)
 {
-    this->next_request_at = this->now() + seed_timeout;
+    this->next_request_at = this->now() + this->seed_timeout;
     this->hooks.send({recipient},
                      wire::topics_pull{this->known_members.self(), this->topics[0].next_offset,
                                        this->topics[1].next_offset, !this->topics_listed(),
@@ -119,10 +136,11 @@
     }
     const bool others_answer = this->now() - this->peer_answered_at < answer_validity;
     if (!others_answer || this->is_chosen_to_call()) {
-        if (this->members_listed) {
+        if (this->looked_for_members) {
             this->list_unlisted_topics();
         }
-        else {
+        if (!this->members_listed) {
+            this->looked_for_members = true;
             this->list_members();
         }
     }
@@ -145,31 +163,42 @@
             return;
         }
         std::vector<wire::member_entry> unknown;
+        bool self_announced = false;
         for (const auto& each : result.records) {
             const auto member = parse_announcement(each);
+            self_announced = self_announced || each.key == self->settings.self.value;
             if (member && member->name != self->settings.self &&
                 !self->known_members.contains(member->name)) {
                 unknown.push_back(*member);
             }
         }
-        if (self->topics_listed()) {
-            for (const auto& each : unknown) {
-                self->send_digests(each, false);
-            }
-        }
-        else if (unknown.empty()) {
-            self->list_unlisted_topics();
+        self->handle_announced_members(unknown, self_announced);
+    });
+}
+
+void store_sharing::state::handle_announced_members(const std::vector<wire::member_entry>& unknown,
+                                                    bool self_announced)
+{
+    if (this->topics_listed()) {
+        for (const auto& each : unknown) {
+            this->send_digests(each, false);
         }
-        else {
-            for (std::size_t asked = 0; asked < announced_daemons_asked; ++asked) {
-                self->request_snapshot(
-                    unknown[uniform_index(self->hooks.random, unknown.size())].where, 0);
-            }
+    }
+    else {
+        // Others that start now ask this daemon if it is announced.
+        if (self_announced || unknown.empty()) {
+            this->list_unlisted_topics();
         }
-        if (!std::exchange(self->members_listed, true)) {
-            self->hooks.members_changed();
+        for (std::size_t asked = 0; asked < announced_daemons_asked && !unknown.empty(); ++asked) {
+            const auto& chosen = unknown[uniform_index(this->hooks.random, unknown.size())];
+            this->request_snapshot(chosen.where, 0);
+            this->unasked_seeds.push_back(chosen.where);
         }
-    });
+    }
+    if (unknown.empty() && this->now() - this->started_at >= alone_after &&
+        !std::exchange(this->members_listed, true)) {
+        this->hooks.members_changed();
+    }
 }
 
 // Makes this daemon known to those that start while no seed answers.
--- a/src/azureshore/sharing/internal/reading.cpp
+++ b/src/azureshore/sharing/internal/reading.cpp
@@ -14,7 +14,7 @@
 constexpr double substitute_interval_fraction = 0.45;
 // How old a daemon that is no standby reader lets its records become before it asks others, as a
 // fraction of sharing_settings::apply_within, and how much longer it waits at random.
-constexpr double pull_fraction = 0.55;
+constexpr double pull_fraction = 0.58;
 constexpr double pull_jitter_fraction = 0.03;
 // How long it then waits before it may read the store, and between two such attempts.
 constexpr double pull_wait_fraction = 0.05;
--- a/src/azureshore/sharing/internal/sharing_constants.hpp
+++ b/src/azureshore/sharing/internal/sharing_constants.hpp
@@ -11,7 +11,7 @@
 inline constexpr double takeover_fraction = 0.5;
 // How much longer each further daemon in rank order waits than the one before it, as a fraction of
 // sharing_settings::apply_within.
-inline constexpr double takeover_step_fraction = 0.05;
+inline constexpr double takeover_step_fraction = 0.025;
 // Daemons ranked before this read the store when the ones before them do not. Those ranked after it
 // ask other daemons first.
 inline constexpr std::size_t standby_reader_count = 4;
--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -85,6 +85,9 @@
     bool apply_record(topic_state& topic, const platform::keyed_record& record);
     void announce();
     void list_members();
+    // Takes the announced daemons that this one does not know yet.
+    void handle_announced_members(const std::vector<wire::member_entry>& unknown,
+                                  bool self_announced);
     void find_other_daemons();
 
     // Start-up.
@@ -169,6 +172,7 @@
     // Start-up.
     std::vector<address> unasked_seeds;
     time_point next_request_at{};
+    duration seed_timeout{};
     // When another daemon last answered a request of this one, and the largest number of members
     // that one has told.
     time_point peer_answered_at;
@@ -191,6 +195,7 @@
     bool flush_scheduled = false;
     std::optional<time_point> members_listed_at;
     bool announced = false;
+    bool looked_for_members = false;
 };
 
 } // namespace azureshore::sharing
--- a/src/azureshore/sharing/store_sharing.hpp
+++ b/src/azureshore/sharing/store_sharing.hpp
@@ -20,6 +20,8 @@
     duration apply_within = std::chrono::seconds(2);
     // Daemons that are asked for a snapshot at the start, in case the store does not answer.
     std::vector<address> seeds;
+    // Whether the whole deployment starts for the first time.
+    bool first_start = false;
     // Grows with each start of this daemon, such as the time of the start.
     std::uint64_t incarnation = 0;
 };
--- a/tests/sharing/sharing_cluster.cpp
+++ b/tests/sharing/sharing_cluster.cpp
@@ -174,6 +174,7 @@
             data_centre_of(index),
             std::chrono::seconds(2),
             {address_of(0), address_of(1), address_of(2)},
+            this->first_start,
             static_cast<std::uint64_t>(this->clock.now().time_since_epoch().count())},
         sharing::shared_topics{this->store.topic(name, operators),
                                this->store.topic(name, registrations),
--- a/tests/sharing/sharing_cluster.hpp
+++ b/tests/sharing/sharing_cluster.hpp
@@ -90,6 +90,8 @@
     virtual_clock clock;
     random_source random;
     fake_store store;
+    // Whether daemons are told that the deployment starts for the first time.
+    bool first_start = true;
     // Fraction of the messages that are lost.
     double message_loss_fraction = 0;
     // Daemons to and from which no messages are delivered.
