--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -177,7 +177,7 @@
     // that one has told.
     time_point peer_answered_at;
     std::size_t told_member_count = 0;
-    duration load_retry_delay;
+    duration load_retry_delay{};
     // Daemons that get a snapshot as soon as this one has it, and those that got one lately.
     std::vector<wire::member_entry> waiting_daemons;
     std::deque<wire::member_entry> served_daemons;
--- a/src/azureshore/sharing/members.cpp
+++ b/src/azureshore/sharing/members.cpp
@@ -101,8 +101,8 @@
 {
     derived_orders computed;
     computed.bucket_digests.resize(bucket_count);
-    std::map<data_centre_id, std::vector<std::tuple<bool, std::uint64_t, vm_id>>>
-        weighted[tree_count];
+    using weighted_names = std::vector<std::tuple<bool, std::uint64_t, vm_id>>;
+    std::array<std::map<data_centre_id, weighted_names>, tree_count> weighted;
     const auto add = [&](const wire::member_entry& entry) {
         if (entry.state == wire::member_state::gone) {
             return;
@@ -112,7 +112,7 @@
         for (std::size_t tree = 0; tree < tree_count; ++tree) {
             const auto weight = rank_weight(tree_tasks.at(tree), entry.name);
             // Leaving daemons come last, where they forward nothing.
-            weighted[tree][entry.data_centre].emplace_back(leaving, weight, entry.name);
+            weighted.at(tree)[entry.data_centre].emplace_back(leaving, weight, entry.name);
             if (tree == 0 && !leaving) {
                 computed.by_rank.emplace_back(weight, entry.name);
             }
@@ -124,12 +124,12 @@
     }
     std::sort(computed.by_rank.begin(), computed.by_rank.end());
     for (std::size_t tree = 0; tree < tree_count; ++tree) {
-        for (auto& [data_centre, names] : weighted[tree]) {
+        for (auto& [data_centre, names] : weighted.at(tree)) {
             std::sort(names.begin(), names.end());
-            auto& order = computed.trees[tree][data_centre];
+            auto& order = computed.trees.at(tree)[data_centre];
             for (auto& [leaving, weight, name] : names) {
                 if (name == this->own_entry.name) {
-                    computed.own_place[tree] = order.size();
+                    computed.own_place.at(tree) = order.size();
                 }
                 order.push_back(std::move(name));
             }
@@ -211,8 +211,8 @@
 {
     std::vector<wire::member_entry> entries;
     const auto& current = this->orders();
-    const auto& order = current.trees[tree].at(this->own_entry.data_centre);
-    const auto first = current.own_place[tree] * fan_out + 1;
+    const auto& order = current.trees.at(tree).at(this->own_entry.data_centre);
+    const auto first = current.own_place.at(tree) * fan_out + 1;
     for (auto place = first; place < std::min(first + fan_out, order.size()); ++place) {
         this->add_entry(entries, order[place]);
     }
@@ -247,7 +247,7 @@
 std::vector<wire::member_entry> members::roots_of(std::size_t tree) const
 {
     std::vector<wire::member_entry> entries;
-    for (const auto& [data_centre, order] : this->orders().trees[tree]) {
+    for (const auto& [data_centre, order] : this->orders().trees.at(tree)) {
         this->add_entry(entries, order.front());
     }
     return entries;
--- a/src/azureshore/sharing/members.hpp
+++ b/src/azureshore/sharing/members.hpp
@@ -5,6 +5,7 @@
 #include "azureshore/core/time.hpp"
 #include "azureshore/wire/sharing_messages.hpp"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -91,9 +92,9 @@
     struct derived_orders {
         // The serving daemons with their weights, the first-ranked one first.
         std::vector<std::pair<std::uint64_t, vm_id>> by_rank;
-        std::map<data_centre_id, tree_order> trees[tree_count];
+        std::array<std::map<data_centre_id, tree_order>, tree_count> trees;
         // This daemon's place in the trees of its data centre.
-        std::size_t own_place[tree_count] = {0, 0};
+        std::array<std::size_t, tree_count> own_place{};
         std::vector<std::uint64_t> bucket_digests;
         std::map<std::pair<std::string, std::size_t>, double> shares;
     };
