Log and count the records that a gateway drops without knowing them

After the store's return from a copy, a new configuration was in force on the reader alone. The logs did not tell news that were lost from news that arrived and were dropped because of their offsets.

A gateway now logs record_dropped, and counts it, when it skips a record of another gateway's news that it neither has nor has seen replaced. Its metrics tell the offset that it knows of each topic.

--- a/src/azureshore/daemon/gateway_daemon.cpp
+++ b/src/azureshore/daemon/gateway_daemon.cpp
@@ -153,7 +153,7 @@
         hooks.request = [this](request_number number, const http1::request&) {
             http1::response answer;
             answer.fields.push_back({"Content-Type", "text/plain; version=0.0.4"});
-            answer.body = this->gateway.metrics();
+            answer.body = this->gateway.metrics() + this->store.metrics();
             this->metrics_port.answer(number, std::move(answer));
         };
         return hooks;
--- a/src/azureshore/daemon/internal/gateway_store.cpp
+++ b/src/azureshore/daemon/internal/gateway_store.cpp
@@ -1,6 +1,7 @@
 #include "azureshore/daemon/internal/gateway_store.hpp"
 
 #include "azureshore/daemon/internal/datagram_text.hpp"
+#include "azureshore/observe/metrics.hpp"
 
 #include <asio/io_context.hpp>
 
@@ -87,6 +88,17 @@
     return this->sharing.total_request_rate();
 }
 
+std::string gateway_store::metrics() const
+{
+    observe::metrics made;
+    for (const auto topic : {wire::shared_topic::operators, wire::shared_topic::registrations}) {
+        made.set("azureshore_topic_offset", {{"topic", std::string(wire::to_string(topic))}},
+                 static_cast<double>(this->sharing.next_offset(topic)));
+    }
+    made.add("azureshore_dropped_records_total", {}, this->sharing.dropped_record_count());
+    return made.to_text();
+}
+
 bool gateway_store::known() const
 {
     return this->configured && this->sharing.topics_listed();
@@ -137,6 +149,7 @@
         this->members_changed();
     };
     made.request_rate = this->hooks.request_rate;
+    made.decided = this->hooks.log;
     made.random = system_random();
     made.crash_suspected = [this](std::uint64_t fingerprint) {
         this->hooks.suspected(fingerprint);
--- a/src/azureshore/daemon/internal/gateway_store.hpp
+++ b/src/azureshore/daemon/internal/gateway_store.hpp
@@ -43,6 +43,9 @@
     // Requests a second that all daemons get together; zero if unknown.
     [[nodiscard]] double total_request_rate() const;
 
+    // This daemon's view of the store, in Prometheus' text format.
+    [[nodiscard]] std::string metrics() const;
+
     // Whether both the configuration and the backend servers have been read.
     [[nodiscard]] bool known() const;
 
--- a/src/azureshore/sharing/internal/messages.cpp
+++ b/src/azureshore/sharing/internal/messages.cpp
@@ -266,6 +266,9 @@
         if (each.offset >= topic.next_offset) {
             this->apply_record(topic, {each.offset, each.key, each.value});
         }
+        else if (!has_seen(topic, each)) {
+            this->report_dropped_record(topic, news, each);
+        }
     }
     // This daemon's next read starts after the records of this message. Between its earlier reads
     // and the next one there is a gap, so they can no longer be sent together.
@@ -285,6 +288,33 @@
     this->set_store_unavailable(false);
 }
 
+// Returns whether a record from before the topic's next offset is known or has been replaced since.
+bool store_sharing::state::has_seen(const topic_state& topic, const wire::shared_record& record)
+{
+    const auto known = topic.newest_records.find(record.key);
+    if (known != topic.newest_records.end()) {
+        return known->second.record.offset > record.offset || known->second.record == record;
+    }
+    return !record.value ||
+           std::any_of(topic.removed_keys.lower_bound(record.offset), topic.removed_keys.end(),
+                       [&](const auto& removed) { return removed.second == record.key; });
+}
+
+void store_sharing::state::report_dropped_record(const topic_state& topic,
+                                                 const wire::topic_news& news,
+                                                 const wire::shared_record& record)
+{
+    ++this->dropped_record_count;
+    if (this->hooks.decided) {
+        this->hooks.decided({"record_dropped",
+                             {{"topic", std::string(wire::to_string(topic.kind))},
+                              {"reader", news.reader.value},
+                              {"key", record.key},
+                              {"offset", std::to_string(record.offset)},
+                              {"known", std::to_string(topic.next_offset)}}});
+    }
+}
+
 // Asks other daemons for records that this one has missed, and reads them from the store if they
 // have not come soon after.
 void store_sharing::state::fetch_missed_records(topic_state& topic)
--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -23,8 +23,8 @@
     members known_members;
     bool members_listed = false;
     double total_request_rate = 0;
+    std::uint64_t dropped_record_count = 0;
 
-private:
     // The records of one read in [first_offset, next_offset) that changed anything. They are sent
     // again with the next reads, so that a lost message does no harm.
     struct read_round {
@@ -60,13 +60,17 @@
         std::map<std::uint32_t, std::vector<wire::shared_record>> snapshot_parts{};
         std::uint64_t snapshot_next_offset = 0;
     };
+
+    topic_state& topic_for(wire::shared_topic kind);
+    [[nodiscard]] const topic_state& topic_for(wire::shared_topic kind) const;
+
+private:
     struct child_report {
         std::size_t missed_rounds = 0;
         double request_rate = 0;
     };
 
     [[nodiscard]] time_point now() const { return this->hooks.clock(); }
-    topic_state& topic_for(wire::shared_topic kind);
     void run_after(duration delay, std::function<void(state&)> action);
     // A random delay between the given one and one and a half of it.
     duration jittered(duration delay);
@@ -128,6 +132,9 @@
     void broadcast(const wire::message& body);
     void send_news(topic_state& topic);
     void handle_news(const wire::topic_news& news);
+    [[nodiscard]] static bool has_seen(const topic_state& topic, const wire::shared_record& record);
+    void report_dropped_record(const topic_state& topic, const wire::topic_news& news,
+                               const wire::shared_record& record);
     // Remembers a broadcast and returns whether it is new to this daemon.
     bool first_receipt(std::uint64_t broadcast_id);
     void set_store_unavailable(bool unavailable);
--- a/src/azureshore/sharing/store_sharing.cpp
+++ b/src/azureshore/sharing/store_sharing.cpp
@@ -24,6 +24,12 @@
     return this->topics.at(static_cast<std::size_t>(kind));
 }
 
+const store_sharing::state::topic_state&
+store_sharing::state::topic_for(wire::shared_topic kind) const
+{
+    return this->topics.at(static_cast<std::size_t>(kind));
+}
+
 void store_sharing::state::run_after(duration delay, std::function<void(state&)> action)
 {
     this->hooks.after(delay, [weak = this->weak_from_this(), action = std::move(action)] {
@@ -117,6 +123,16 @@
     return this->inner->members_listed;
 }
 
+std::uint64_t store_sharing::next_offset(wire::shared_topic topic) const
+{
+    return this->inner->topic_for(topic).next_offset;
+}
+
+std::uint64_t store_sharing::dropped_record_count() const
+{
+    return this->inner->dropped_record_count;
+}
+
 double store_sharing::total_request_rate() const
 {
     return this->inner->total_request_rate;
--- a/src/azureshore/sharing/store_sharing.hpp
+++ b/src/azureshore/sharing/store_sharing.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "azureshore/core/random.hpp"
+#include "azureshore/observe/decision.hpp"
 #include "azureshore/platform/keyed_topic.hpp"
 #include "azureshore/sharing/members.hpp"
 #include "azureshore/wire/message.hpp"
@@ -47,6 +48,8 @@
     std::function<void(std::uint64_t fingerprint)> crash_suspected;
     // Returns the requests per second that this daemon receives.
     std::function<double()> request_rate;
+    // Logs what this daemon does with what it hears. May be empty.
+    observe::decision_hook decided;
     random_source random;
 };
 
@@ -99,6 +102,13 @@
     // Returns whether the announcements of the other daemons have been listed.
     [[nodiscard]] bool members_listed() const;
 
+    // Returns the offset after the last record of a topic that this daemon knows.
+    [[nodiscard]] std::uint64_t next_offset(wire::shared_topic topic) const;
+
+    // Returns how many records of others' news this daemon dropped without knowing them, because it
+    // knew later offsets.
+    [[nodiscard]] std::uint64_t dropped_record_count() const;
+
     // Returns the requests per second of all daemons that have reported theirs, or zero if unknown.
     [[nodiscard]] double total_request_rate() const;
 
--- a/src/azureshore/wire/sharing_messages.hpp
+++ b/src/azureshore/wire/sharing_messages.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace azureshore::wire {
@@ -14,6 +15,11 @@
 // The topics of the platform's store that one daemon reads for all.
 enum class shared_topic : std::uint8_t { operators, registrations };
 
+constexpr std::string_view to_string(shared_topic topic)
+{
+    return topic == shared_topic::operators ? "operators" : "registrations";
+}
+
 // A record of such a topic, as the platform's store has it.
 struct shared_record {
     std::uint64_t offset = 0;
