Show that daemons lose records after the store was restored from a backup

Callers saw requests handled by an older configuration after the store's return. The fake of the store learns to go back to a backup, to give offsets out again, and to say that a read from behind its end can't be served.

--- /dev/null
+++ b/tests/restored_store/restored_store_tests.cpp
@@ -0,0 +1,175 @@
+#include "support/environment.hpp"
+#include "support/sharing_cluster.hpp"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace azureshore;
+using namespace azureshore::test;
+using namespace std::chrono_literals;
+using wire::shared_topic;
+
+// What daemons know after the store was restored from a backup: writes that it had acknowledged are
+// gone, and their offsets are given out again.
+
+namespace {
+
+// The time within which a record that the store accepts takes effect on every daemon.
+constexpr duration apply_bound = 2s;
+
+const std::vector<std::size_t> fleet_sizes{2, 13, 60};
+
+class restored_cluster : public sharing_cluster {
+public:
+    restored_cluster(std::size_t daemons, std::uint64_t seed)
+        : sharing_cluster(daemons, seed), daemon_count(daemons)
+    {
+        this->store.put(operators, "config", "1");
+        this->store.put(registrations, "plate-1", "ready 1");
+        for (std::size_t i = 0; i < daemons; ++i) {
+            this->start(i);
+        }
+        this->clock.run_for(6s);
+    }
+
+    // The store goes away and comes back from its last backup; writers write again soon after.
+    void lose_and_restore(duration outage)
+    {
+        this->store.unanswered_callers.insert("*");
+        this->clock.run_for(outage);
+        this->store.restore_backup();
+        this->store.unanswered_callers.erase("*");
+        this->clock.run_for(100ms);
+        this->store.write_lost_records_again();
+    }
+
+    void check_known(shared_topic topic, const std::string& key, const std::string& value,
+                     const std::set<std::size_t>& exempt = {}) const
+    {
+        for (std::size_t i = 0; i < this->daemon_count; ++i) {
+            if (this->is_running(i) && !exempt.contains(i)) {
+                BOOST_TEST_CONTEXT("vm-" << i << ", key " << key)
+                BOOST_TEST(this->known_value(i, topic, key) == value);
+            }
+        }
+    }
+
+    std::size_t daemon_count;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(restored_store)
+
+// Guards against a configuration that is in force on the reader alone, because the others know its
+// offset from before the restore.
+BOOST_DATA_TEST_CASE(a_configuration_written_after_a_restore_reaches_all_daemons, fleet_sizes,
+                     daemons)
+{
+    restored_cluster cluster(daemons, 1);
+    cluster.store.take_backup();
+    for (const std::string version : {"2", "3", "4"}) {
+        cluster.store.put(sharing_cluster::operators, "config", version);
+        cluster.clock.run_for(1s);
+    }
+    cluster.lose_and_restore(2s);
+    cluster.clock.run_for(3s);
+    for (const std::string version : {"5", "6", "7", "8"}) {
+        cluster.store.put(sharing_cluster::operators, "config", version);
+        cluster.clock.run_for(apply_bound);
+        cluster.check_known(shared_topic::operators, "config", version);
+    }
+}
+
+// Guards against registrations that are ignored until the topic is as long as before the restore.
+BOOST_DATA_TEST_CASE(a_registration_written_after_a_restore_reaches_all_daemons, fleet_sizes,
+                     daemons)
+{
+    restored_cluster cluster(daemons, 2);
+    cluster.store.take_backup();
+    for (int i = 0; i < 100; ++i) {
+        cluster.store.put(sharing_cluster::registrations, "plate-1", "ready " + std::to_string(i));
+        cluster.clock.run_for(20ms);
+    }
+    cluster.lose_and_restore(2s);
+    cluster.clock.run_for(3s);
+    cluster.store.put(sharing_cluster::registrations, "plate-1", "draining");
+    cluster.clock.run_for(apply_bound);
+    cluster.check_known(shared_topic::registrations, "plate-1", "draining");
+}
+
+// Guards against a return that no call of a daemon fails for.
+BOOST_DATA_TEST_CASE(a_restore_without_an_outage_is_noticed, fleet_sizes, daemons)
+{
+    restored_cluster cluster(daemons, 3);
+    cluster.store.take_backup();
+    cluster.store.put(sharing_cluster::operators, "config", "2");
+    cluster.clock.run_for(apply_bound);
+    cluster.store.restore_backup();
+    cluster.store.put(sharing_cluster::operators, "config", "3");
+    cluster.clock.run_for(apply_bound);
+    cluster.check_known(shared_topic::operators, "config", "3");
+    cluster.store.put(sharing_cluster::operators, "config", "4");
+    cluster.clock.run_for(apply_bound);
+    cluster.check_known(shared_topic::operators, "config", "4");
+}
+
+// Random schedules of changes, restores, lost messages, kills, and daemons that the store does not
+// answer. Each daemon that ran throughout a step and was answered must know the change in time.
+BOOST_AUTO_TEST_CASE(every_change_is_known_within_the_bound_over_random_restores)
+{
+    constexpr std::size_t daemons = 13;
+    const auto schedules = test_support::number_from("AZURESHORE_SCHEDULES", 60);
+    const auto first = test_support::number_from("AZURESHORE_SEED", 0);
+    for (std::uint64_t seed = first; seed < first + schedules; ++seed) {
+        restored_cluster cluster(daemons, seed);
+        cluster.message_loss_fraction = 0.05;
+        auto random = seeded_random(seed * 31 + 7);
+        const auto milliseconds_below = [&random](std::size_t limit) {
+            return std::chrono::milliseconds(uniform_index(random, limit));
+        };
+        int value = 1;
+        const auto put = [&](shared_topic topic) {
+            cluster.store.put(topic == shared_topic::operators ? sharing_cluster::operators
+                                                               : sharing_cluster::registrations,
+                              "key", std::to_string(++value));
+        };
+        for (int step = 0; step < 10; ++step) {
+            if (uniform(random) < 0.5) {
+                cluster.store.take_backup();
+                for (auto writes = uniform_index(random, 6); writes > 0; --writes) {
+                    put(uniform(random) < 0.5 ? shared_topic::operators
+                                              : shared_topic::registrations);
+                    cluster.clock.run_for(milliseconds_below(700));
+                }
+                cluster.lose_and_restore(milliseconds_below(3000));
+                // The bound holds again once the store has answered for a while.
+                cluster.clock.run_for(3s);
+            }
+            std::set<std::size_t> unanswered;
+            const auto victim = uniform_index(random, daemons);
+            const auto fault = uniform_index(random, 3);
+            if (fault == 0) {
+                cluster.kill(victim);
+            }
+            if (fault == 1) {
+                cluster.store.unanswered_callers = {cluster.name_of(victim).value};
+                unanswered.insert(victim);
+            }
+            const auto topic =
+                uniform(random) < 0.5 ? shared_topic::operators : shared_topic::registrations;
+            cluster.clock.run_for(milliseconds_below(900));
+            put(topic);
+            cluster.clock.run_for(apply_bound);
+            BOOST_TEST_CONTEXT("seed " << seed << " step " << step)
+            cluster.check_known(topic, "key", std::to_string(value), unanswered);
+            cluster.store.unanswered_callers.clear();
+            if (!cluster.is_running(victim)) {
+                cluster.start(victim);
+            }
+            cluster.clock.run_for(milliseconds_below(2000));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/sharing/fleet_tests.cpp
+++ b/tests/sharing/fleet_tests.cpp
@@ -1,4 +1,4 @@
-#include "sharing/sharing_cluster.hpp"
+#include "support/sharing_cluster.hpp"
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
--- a/tests/sharing/store_sharing_tests.cpp
+++ b/tests/sharing/store_sharing_tests.cpp
@@ -1,4 +1,4 @@
-#include "sharing/sharing_cluster.hpp"
+#include "support/sharing_cluster.hpp"
 #include "support/environment.hpp"
 
 #include <boost/test/unit_test.hpp>
--- a/tests/sharing/sharing_cluster.cpp
+++ b/tests/support/sharing_cluster.cpp
@@ -1,4 +1,4 @@
-#include "sharing/sharing_cluster.hpp"
+#include "support/sharing_cluster.hpp"
 
 #include <algorithm>
 
@@ -67,6 +67,43 @@
     log.records.clear();
 }
 
+void fake_store::take_backup()
+{
+    this->backup = this->topics;
+}
+
+void fake_store::restore_backup()
+{
+    this->before_restore.clear();
+    for (const auto& [name, log] : this->topics) {
+        this->before_restore[name] = log.newest;
+    }
+    this->topics = this->backup;
+    const auto waiting_reads = this->waiting;
+    for (const auto& each : waiting_reads) {
+        this->finish(each, false);
+    }
+}
+
+void fake_store::write_lost_records_again()
+{
+    for (const auto* name : {sharing_cluster::operators, sharing_cluster::registrations}) {
+        const auto& lost = this->before_restore[name];
+        const auto present = this->topics[name].newest;
+        for (const auto& [key, record] : lost) {
+            const auto found = present.find(key);
+            if (found == present.end() || found->second.value != record.value) {
+                this->put(name, key, record.value);
+            }
+        }
+        for (const auto& [key, record] : present) {
+            if (!lost.contains(key)) {
+                this->put(name, key, std::nullopt);
+            }
+        }
+    }
+}
+
 bool fake_store::is_answered(const vm_id& caller) const
 {
     return !this->unanswered_callers.contains("*") &&
@@ -125,7 +162,8 @@
     std::erase(this->waiting, read);
     platform::keyed_read result;
     const auto& log = this->topics[read->topic];
-    if (answered && read->first_offset < log.first_offset) {
+    if (answered && (read->first_offset < log.first_offset ||
+                     read->first_offset > log.first_offset + log.records.size())) {
         result.outcome = platform::read_outcome::expired;
     }
     else if (answered) {
--- a/tests/sharing/sharing_cluster.hpp
+++ b/tests/support/sharing_cluster.hpp
@@ -32,6 +32,15 @@
     // can still be listed.
     void compact(const std::string& topic);
 
+    // Remembers what the store holds now, as a backup does.
+    void take_backup();
+    // Goes back to the last backup: what was written since is lost, its offsets are given out
+    // again, and waiting reads end without an answer.
+    void restore_backup();
+    // Writes again what others than the daemons had written and the last restore lost: the newest
+    // record of each key, in the order of their keys.
+    void write_lost_records_again();
+
     // Names of daemons whose calls get no answer. "*" stands for all daemons.
     std::set<std::string> unanswered_callers;
     std::uint64_t calls = 0;
@@ -58,6 +67,9 @@
     virtual_clock& clock;
     random_source random;
     std::map<std::string, topic_log> topics;
+    std::map<std::string, topic_log> backup;
+    // The newest records at the time of the last restore, by topic.
+    std::map<std::string, std::map<std::string, platform::keyed_record>> before_restore;
     std::vector<std::shared_ptr<waiting_read>> waiting;
 };
 
