Compare offsets of a topic only within an epoch of the store

Cause: daemons order what they know of a topic by its offset alone. A restore gives offsets out again, so a record written after it has an offset that the daemons know from before. They dropped the reader's news of it and still counted themselves as current. Daemons that had listed the topic anew were led back to the old offsets by others' answers to their pulls. The class: positions of two histories are compared as if they were one.

Ruled out: lost news (they arrived) and an older version put in force (outdated ones are refused).

Change: a position is an epoch and an offset.

A list is no longer taken over what others have told meanwhile.

--- a/src/azureshore/daemon/internal/gateway_store.cpp
+++ b/src/azureshore/daemon/internal/gateway_store.cpp
@@ -92,8 +92,10 @@
 {
     observe::metrics made;
     for (const auto topic : {wire::shared_topic::operators, wire::shared_topic::registrations}) {
-        made.set("azureshore_topic_offset", {{"topic", std::string(wire::to_string(topic))}},
-                 static_cast<double>(this->sharing.next_offset(topic)));
+        const observe::labels labels{{"topic", std::string(wire::to_string(topic))}};
+        const auto next = this->sharing.next_position(topic);
+        made.set("azureshore_topic_offset", labels, static_cast<double>(next.offset));
+        made.set("azureshore_topic_epoch", labels, static_cast<double>(next.epoch));
     }
     made.add("azureshore_dropped_records_total", {}, this->sharing.dropped_record_count());
     return made.to_text();
--- a/src/azureshore/platform/keyed_topic.hpp
+++ b/src/azureshore/platform/keyed_topic.hpp
@@ -24,13 +24,18 @@
 // The newest record of every key.
 struct keyed_list {
     bool ok = false;
+    // How often the store has been restored from a backup. Each restore may lose records and gives
+    // their offsets out again, so offsets can only be compared within an epoch.
+    std::uint64_t epoch = 0;
     std::vector<keyed_record> records;
     // From where to read on so that no record is missed.
     std::uint64_t next_offset = 0;
 };
 
 struct keyed_read {
+    // `expired` also when the offset asked for lies behind the end, as after a restore.
     read_outcome outcome = read_outcome::unavailable;
+    std::uint64_t epoch = 0;
     std::uint64_t next_offset = 0;
     std::vector<keyed_record> records;
 };
--- a/src/azureshore/sharing/internal/joining.cpp
+++ b/src/azureshore/sharing/internal/joining.cpp
@@ -107,9 +107,8 @@
 {
     this->next_request_at = this->now() + this->seed_timeout;
     this->hooks.send({recipient},
-                     wire::topics_pull{this->known_members.self(), this->topics[0].next_offset,
-                                       this->topics[1].next_offset, !this->topics_listed(),
-                                       redirects});
+                     wire::topics_pull{this->known_members.self(), this->topics[0].next,
+                                       this->topics[1].next, !this->topics_listed(), redirects});
 }
 
 void store_sharing::state::handle_redirect(const wire::pull_redirect& redirect)
@@ -320,12 +319,12 @@
 {
     this->peer_answered_at = this->now();
     auto& topic = this->topic_for(snapshot.topic);
-    if (snapshot.parts == 0 || (topic.listed && snapshot.next <= topic.next_offset)) {
+    if (snapshot.parts == 0 || (topic.listed && snapshot.next <= topic.next)) {
         return;
     }
-    if (topic.snapshot_next_offset != snapshot.next) {
+    if (topic.snapshot_next != snapshot.next) {
         topic.snapshot_parts.clear();
-        topic.snapshot_next_offset = snapshot.next;
+        topic.snapshot_next = snapshot.next;
     }
     topic.snapshot_parts[snapshot.part] = snapshot.records;
     if (topic.snapshot_parts.size() < snapshot.parts) {
--- a/src/azureshore/sharing/internal/messages.cpp
+++ b/src/azureshore/sharing/internal/messages.cpp
@@ -33,7 +33,7 @@
     std::size_t bytes = 0;
     for (const auto& each : records) {
         if (!part.records.empty() && bytes + byte_size(each) > max_news_bytes) {
-            part.next = each.offset;
+            part.next.offset = each.offset;
             parts.push_back(part);
             part.from = each.offset;
             part.records.clear();
@@ -53,7 +53,7 @@
                                             const topic_state& topic)
 {
     wire::topic_news all;
-    all.next = topic.next_offset;
+    all.next = topic.next;
     for (const auto& [key, newest] : topic.newest_records) {
         all.records.push_back(newest.record);
     }
@@ -61,31 +61,37 @@
     std::uint32_t part_number = 0;
     for (auto& part : parts) {
         this->send_to({recipient},
-                      wire::topic_snapshot{topic.kind, topic.next_offset,
-                                           this->now() - topic.current_as_of, part_number++,
-                                           static_cast<std::uint32_t>(parts.size()),
-                                           std::move(part.records)});
+                      wire::topic_snapshot{
+                          topic.kind, topic.next, this->now() - topic.current_as_of, part_number++,
+                          static_cast<std::uint32_t>(parts.size()), std::move(part.records)});
     }
 }
 
-// Sends what has changed since an offset, and how old this daemon's knowledge is.
+// Sends what has changed since a position, and how old this daemon's knowledge is.
 void store_sharing::state::send_update(const wire::member_entry& recipient, topic_state& topic,
-                                       std::uint64_t from)
+                                       const wire::topic_position& from)
 {
-    if (from < topic.history_begin) {
+    if (from.epoch < topic.next.epoch ||
+        (from.epoch == topic.next.epoch && from.offset < topic.history_begin)) {
         this->send_all_records(recipient, topic);
         return;
     }
+    if (from.epoch > topic.next.epoch) {
+        // The recipient only learns that this daemon knows nothing newer.
+        this->send_to({recipient},
+                      wire::topic_update{topic.kind, topic.next.offset, topic.next, max_age, {}});
+        return;
+    }
     wire::topic_news changes;
-    changes.from = std::min(from, topic.next_offset);
-    changes.next = topic.next_offset;
+    changes.from = std::min(from.offset, topic.next.offset);
+    changes.next = topic.next;
     for (const auto& [key, newest] : topic.newest_records) {
-        if (newest.changed_offset >= from) {
+        if (newest.changed_offset >= from.offset) {
             changes.records.push_back(newest.record);
         }
     }
-    for (auto removed = topic.removed_keys.lower_bound(from); removed != topic.removed_keys.end();
-         ++removed) {
+    for (auto removed = topic.removed_keys.lower_bound(from.offset);
+         removed != topic.removed_keys.end(); ++removed) {
         changes.records.push_back({removed->first, removed->second, std::nullopt});
     }
     std::sort(changes.records.begin(), changes.records.end(),
@@ -93,7 +99,7 @@
     const auto age = this->now() - topic.current_as_of;
     // Only the last part makes the receiver as current as this daemon.
     for (auto& part : split_news(std::move(changes))) {
-        const bool last = part.next == topic.next_offset;
+        const bool last = part.next == topic.next;
         this->send_to({recipient},
                       wire::topic_update{topic.kind, part.from, part.next, last ? age : max_age,
                                          std::move(part.records)});
@@ -105,17 +111,17 @@
     const auto now = this->now();
     this->peer_answered_at = now;
     auto& topic = this->topic_for(update.topic);
-    if (!topic.listed || update.from > topic.next_offset) {
+    if (!topic.listed || update.next.epoch != topic.next.epoch || update.from > topic.next.offset) {
         return;
     }
     for (const auto& each : update.records) {
-        if (each.offset >= topic.next_offset) {
+        if (each.offset >= topic.next.offset) {
             this->apply_record(topic, {each.offset, each.key, each.value});
         }
     }
-    if (update.next > topic.next_offset) {
+    if (update.next > topic.next) {
         topic.recent_reads.clear();
-        topic.next_offset = update.next;
+        topic.next = update.next;
         topic.missed_records = false;
     }
     topic.current_as_of =
@@ -129,8 +135,8 @@
 void store_sharing::state::pull_from_others()
 {
     this->send_to(this->random_members(pulled_daemons),
-                  wire::topics_pull{this->known_members.self(), this->topics[0].next_offset,
-                                    this->topics[1].next_offset, false, 0});
+                  wire::topics_pull{this->known_members.self(), this->topics[0].next,
+                                    this->topics[1].next, false, 0});
 }
 
 void store_sharing::state::send_to(const std::vector<wire::member_entry>& recipients,
@@ -179,8 +185,8 @@
     news.reader = this->settings.self;
     news.topic = topic.kind;
     news.from = topic.recent_reads.front().first_offset;
-    news.next = topic.next_offset;
-    news.operators_next = this->topic_for(wire::shared_topic::operators).next_offset;
+    news.next = topic.next;
+    news.operators_next = this->topic_for(wire::shared_topic::operators).next;
     news.members_digest = this->known_members.digest();
     for (const auto& each : topic.recent_reads) {
         news.records.insert(news.records.end(), each.records.begin(), each.records.end());
@@ -192,7 +198,7 @@
     }
     news.request_rate = this->total_request_rate;
     for (auto& part : split_news(std::move(news))) {
-        part.ends_round = part.next == topic.next_offset;
+        part.ends_round = part.next == topic.next;
         part.broadcast_id = this->hooks.random();
         this->first_receipt(part.broadcast_id);
         this->broadcast(part);
@@ -238,6 +244,11 @@
 
 void store_sharing::state::handle_news(const wire::topic_news& news)
 {
+    auto& topic = this->topic_for(news.topic);
+    if (news.next.epoch < topic.next.epoch) {
+        // The reader does not know yet that the store was restored.
+        return;
+    }
     const auto now = this->now();
     const bool from_best_reader =
         !this->reader ||
@@ -248,7 +259,6 @@
         this->reader = news.reader;
         this->reader_heard_at = now;
     }
-    auto& topic = this->topic_for(news.topic);
     if (!topic.listed) {
         return;
     }
@@ -257,13 +267,13 @@
         this->count_missed_reports();
         this->report_to_parent();
     }
-    if (news.from > topic.next_offset) {
-        // An earlier news message was lost.
+    if (news.next.epoch > topic.next.epoch || news.from > topic.next.offset) {
+        // The store was restored, or an earlier news message was lost.
         this->fetch_missed_records(topic);
         return;
     }
     for (const auto& each : news.records) {
-        if (each.offset >= topic.next_offset) {
+        if (each.offset >= topic.next.offset) {
             this->apply_record(topic, {each.offset, each.key, each.value});
         }
         else if (!has_seen(topic, each)) {
@@ -273,15 +283,15 @@
     // This daemon's next read starts after the records of this message. Between its earlier reads
     // and the next one there is a gap, so they can no longer be sent together.
     topic.recent_reads.clear();
-    topic.next_offset = std::max(topic.next_offset, news.next);
+    topic.next = std::max(topic.next, news.next);
     topic.current_as_of = now;
     topic.last_call_failed = false;
     topic.missed_records = false;
     auto& operators = this->topic_for(wire::shared_topic::operators);
-    if (news.operators_next > operators.next_offset) {
+    if (news.operators_next > operators.next) {
         this->fetch_missed_records(operators);
     }
-    else {
+    else if (news.operators_next.epoch == operators.next.epoch) {
         operators.current_as_of = now;
         operators.last_call_failed = false;
     }
@@ -311,7 +321,7 @@
                               {"reader", news.reader.value},
                               {"key", record.key},
                               {"offset", std::to_string(record.offset)},
-                              {"known", std::to_string(topic.next_offset)}}});
+                              {"known", std::to_string(topic.next.offset)}}});
     }
 }
 
--- a/src/azureshore/sharing/internal/reading.cpp
+++ b/src/azureshore/sharing/internal/reading.cpp
@@ -47,33 +47,46 @@
     topic.call_in_flight = true;
     topic.store.list([weak = this->weak_from_this(), kind = topic.kind,
                       began = this->now()](const platform::keyed_list& result) {
-        const auto self = weak.lock();
-        if (!self) {
-            return;
+        if (const auto self = weak.lock()) {
+            self->handle_list_result(self->topic_for(kind), began, result);
         }
-        auto& listed_topic = self->topic_for(kind);
-        listed_topic.call_in_flight = false;
-        if (!result.ok) {
-            self->handle_store_failure(listed_topic);
-            // A seed serves all that start; the others try again as load_without_seeds() decides.
-            if (listed_topic.listed || self->is_seed()) {
-                self->run_after(self->jittered(store_retry_delay), [kind](state& live_state) {
-                    auto& retried_topic = live_state.topic_for(kind);
-                    if (!retried_topic.call_in_flight &&
-                        (!retried_topic.listed || retried_topic.last_call_failed)) {
-                        live_state.list_topic(retried_topic);
-                    }
-                });
-            }
-            return;
-        }
-        self->apply_list(listed_topic, result.next_offset, result.records);
-        self->handle_store_success(listed_topic, began);
-        self->serve_waiting_daemons();
-        self->check_staleness();
     });
 }
 
+void store_sharing::state::handle_list_result(topic_state& topic, time_point began,
+                                              const platform::keyed_list& result)
+{
+    topic.call_in_flight = false;
+    const wire::topic_position next{result.epoch, result.next_offset};
+    // A list of an earlier epoch was made before the store was restored.
+    if (!result.ok || next.epoch < topic.next.epoch) {
+        this->handle_list_failure(topic);
+        return;
+    }
+    // Other daemons may have told more while the store was listing.
+    if (!topic.listed || next > topic.next) {
+        this->apply_list(topic, next, result.records);
+    }
+    this->handle_store_success(topic, began);
+    this->serve_waiting_daemons();
+    this->check_staleness();
+}
+
+void store_sharing::state::handle_list_failure(topic_state& topic)
+{
+    this->handle_store_failure(topic);
+    // A seed serves all that start; the others try again as load_without_seeds() decides.
+    if (topic.listed || this->is_seed()) {
+        this->run_after(this->jittered(store_retry_delay), [kind = topic.kind](state& self) {
+            auto& retried_topic = self.topic_for(kind);
+            if (!retried_topic.call_in_flight &&
+                (!retried_topic.listed || retried_topic.last_call_failed)) {
+                self.list_topic(retried_topic);
+            }
+        });
+    }
+}
+
 void store_sharing::state::read_topic(topic_state& topic, std::chrono::milliseconds max_wait)
 {
     if (!topic.listed) {
@@ -84,24 +97,26 @@
         return;
     }
     topic.call_in_flight = true;
-    topic.store.read(topic.next_offset, max_wait,
-                     [weak = this->weak_from_this(), kind = topic.kind,
-                      began = this->now()](const platform::keyed_read& result) {
+    topic.store.read(topic.next.offset, max_wait,
+                     [weak = this->weak_from_this(), kind = topic.kind, began = this->now(),
+                      from = topic.next](const platform::keyed_read& result) {
                          if (const auto self = weak.lock()) {
-                             self->handle_read_result(self->topic_for(kind), began, result);
+                             self->handle_read_result(self->topic_for(kind), began, from, result);
                          }
                      });
 }
 
 void store_sharing::state::handle_read_result(topic_state& topic, time_point began,
+                                              const wire::topic_position& from,
                                               const platform::keyed_read& result)
 {
     topic.call_in_flight = false;
-    if (result.outcome == platform::read_outcome::unavailable) {
+    // An answer of an earlier epoch was given before the store was restored.
+    if (result.outcome == platform::read_outcome::unavailable || result.epoch < topic.next.epoch) {
         this->handle_store_failure(topic);
         return;
     }
-    if (result.outcome == platform::read_outcome::expired) {
+    if (result.outcome == platform::read_outcome::expired || result.epoch != from.epoch) {
         this->list_topic(topic);
         return;
     }
@@ -157,14 +172,14 @@
 
 void store_sharing::state::apply_read(topic_state& topic, const platform::keyed_read& result)
 {
-    read_round read{topic.next_offset, std::max(topic.next_offset, result.next_offset), {}};
+    read_round read{topic.next.offset, std::max(topic.next.offset, result.next_offset), {}};
     for (const auto& each : result.records) {
         // News from another daemon may have delivered the record before this read ended.
-        if (each.offset >= topic.next_offset && this->apply_record(topic, each)) {
+        if (each.offset >= topic.next.offset && this->apply_record(topic, each)) {
             read.records.push_back({each.offset, each.key, each.value});
         }
     }
-    topic.next_offset = read.next_offset;
+    topic.next.offset = read.next_offset;
     topic.recent_reads.push_back(std::move(read));
     if (topic.recent_reads.size() > reads_per_news) {
         topic.recent_reads.pop_front();
--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -44,7 +44,8 @@
         bool call_in_flight = false;
         // Another read starts as soon as the one in flight ends.
         bool read_again = false;
-        std::uint64_t next_offset = 0;
+        // The position after the last record that this daemon knows.
+        wire::topic_position next{};
         // The last time at which this daemon knew all that the store held.
         time_point current_as_of{};
         bool last_call_failed = false;
@@ -55,10 +56,10 @@
         // Removals by offset. Those before history_begin are not known.
         std::map<std::uint64_t, std::string> removed_keys{};
         std::uint64_t history_begin = 0;
-        // The parts received so far of an incomplete snapshot, by part number, and the offset after
-        // the last record of the whole snapshot.
+        // The parts received so far of an incomplete snapshot, by part number, and the position
+        // after the last record of the whole snapshot.
         std::map<std::uint32_t, std::vector<wire::shared_record>> snapshot_parts{};
-        std::uint64_t snapshot_next_offset = 0;
+        wire::topic_position snapshot_next{};
     };
 
     topic_state& topic_for(wire::shared_topic kind);
@@ -79,13 +80,17 @@
     void list_topic(topic_state& topic);
     void list_unlisted_topics();
     void read_topic(topic_state& topic, std::chrono::milliseconds max_wait);
-    void handle_read_result(topic_state& topic, time_point began,
+    void handle_list_result(topic_state& topic, time_point began,
+                            const platform::keyed_list& result);
+    void handle_list_failure(topic_state& topic);
+    void handle_read_result(topic_state& topic, time_point began, const wire::topic_position& from,
                             const platform::keyed_read& result);
     void handle_store_failure(topic_state& topic);
     void handle_store_success(topic_state& topic, time_point began);
     void apply_read(topic_state& topic, const platform::keyed_read& result);
-    void apply_list(topic_state& topic, std::uint64_t next_offset,
+    void apply_list(topic_state& topic, const wire::topic_position& next,
                     const std::vector<platform::keyed_record>& records);
+    void report_restore(const topic_state& topic, const wire::topic_position& next) const;
     bool apply_record(topic_state& topic, const platform::keyed_record& record);
     void announce();
     void list_members();
@@ -108,7 +113,8 @@
     [[nodiscard]] wire::pull_redirect make_redirect(std::vector<wire::member_entry> targets,
                                                     std::uint32_t redirects) const;
     void send_snapshot(const wire::member_entry& recipient);
-    void send_update(const wire::member_entry& recipient, topic_state& topic, std::uint64_t from);
+    void send_update(const wire::member_entry& recipient, topic_state& topic,
+                     const wire::topic_position& from);
     void send_all_records(const wire::member_entry& recipient, const topic_state& topic);
     [[nodiscard]] bool may_serve_snapshots() const;
     void handle_snapshot(const wire::topic_snapshot& snapshot);
--- a/src/azureshore/sharing/store_sharing.cpp
+++ b/src/azureshore/sharing/store_sharing.cpp
@@ -44,12 +44,15 @@
     return fraction_of(delay, 1 + uniform(this->hooks.random) / 2);
 }
 
-void store_sharing::state::apply_list(topic_state& topic, std::uint64_t next_offset,
+void store_sharing::state::apply_list(topic_state& topic, const wire::topic_position& next,
                                       const std::vector<platform::keyed_record>& records)
 {
+    if (topic.listed && next.epoch > topic.next.epoch) {
+        this->report_restore(topic, next);
+    }
     topic.listed = true;
-    topic.next_offset = next_offset;
-    topic.history_begin = next_offset;
+    topic.next = next;
+    topic.history_begin = next.offset;
     topic.recent_reads.clear();
     topic.newest_records.clear();
     topic.removed_keys.clear();
@@ -59,6 +62,19 @@
     this->hooks.replace_records(topic.kind, records);
 }
 
+void store_sharing::state::report_restore(const topic_state& topic,
+                                          const wire::topic_position& next) const
+{
+    if (this->hooks.decided) {
+        this->hooks.decided({"store_restored",
+                             {{"topic", std::string(wire::to_string(topic.kind))},
+                              {"epoch", std::to_string(next.epoch)},
+                              {"next", std::to_string(next.offset)},
+                              {"known_epoch", std::to_string(topic.next.epoch)},
+                              {"known", std::to_string(topic.next.offset)}}});
+    }
+}
+
 bool store_sharing::state::apply_record(topic_state& topic, const platform::keyed_record& record)
 {
     // Limits the memory for removals; a daemon that missed older ones gets a snapshot.
@@ -123,9 +139,9 @@
     return this->inner->members_listed;
 }
 
-std::uint64_t store_sharing::next_offset(wire::shared_topic topic) const
+wire::topic_position store_sharing::next_position(wire::shared_topic topic) const
 {
-    return this->inner->topic_for(topic).next_offset;
+    return this->inner->topic_for(topic).next;
 }
 
 std::uint64_t store_sharing::dropped_record_count() const
--- a/src/azureshore/sharing/store_sharing.hpp
+++ b/src/azureshore/sharing/store_sharing.hpp
@@ -73,7 +73,13 @@
 // A daemon that receives no news message for a fraction of `apply_within` reads the store itself if
 // it is one of the first in rank order. The others ask two daemons for what they have missed first.
 // If those have missed it too, a few daemons at random read the store; a daemon that gets no answer
-// reads it in any case. The daemons need not agree on which one is the reader: two readers only
+// reads it in any case.
+//
+// A store that was restored from a backup starts a new epoch. A daemon that finds or hears of a
+// later epoch replaces what it knows of a topic as a whole, and ignores what others know of earlier
+// ones.
+//
+// The daemons need not agree on which one is the reader: two readers only
 // cost more calls. All calls must come from one thread.
 class store_sharing {
 public:
@@ -102,8 +108,8 @@
     // Returns whether the announcements of the other daemons have been listed.
     [[nodiscard]] bool members_listed() const;
 
-    // Returns the offset after the last record of a topic that this daemon knows.
-    [[nodiscard]] std::uint64_t next_offset(wire::shared_topic topic) const;
+    // Returns the position after the last record of a topic that this daemon knows.
+    [[nodiscard]] wire::topic_position next_position(wire::shared_topic topic) const;
 
     // Returns how many records of others' news this daemon dropped without knowing them, because it
     // knew later offsets.
--- a/src/azureshore/wire/sharing_messages.hpp
+++ b/src/azureshore/wire/sharing_messages.hpp
@@ -4,6 +4,7 @@
 #include "azureshore/core/ids.hpp"
 #include "azureshore/core/time.hpp"
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -20,6 +21,16 @@
     return topic == shared_topic::operators ? "operators" : "registrations";
 }
 
+// A place between two records of a topic. Offsets are only comparable within an epoch, which ends
+// when the store is restored from a backup: what was written after the backup is lost then, and its
+// offsets are given out again.
+struct topic_position {
+    std::uint64_t epoch = 0;
+    std::uint64_t offset = 0;
+
+    auto operator<=>(const topic_position&) const = default;
+};
+
 // A record of such a topic, as the platform's store has it.
 struct shared_record {
     std::uint64_t offset = 0;
@@ -36,11 +47,12 @@
     // The daemon that read.
     vm_id reader;
     shared_topic topic = shared_topic::registrations;
+    // An offset in the epoch of `next`.
     std::uint64_t from = 0;
-    std::uint64_t next = 0;
+    topic_position next;
     std::vector<shared_record> records;
     // How far the sender has read the operators' topic.
-    std::uint64_t operators_next = 0;
+    topic_position operators_next;
     // Tells whether the receiver knows the same daemons.
     std::uint64_t members_digest = 0;
     // Requests a second that all daemons get together.
@@ -56,12 +68,15 @@
 // All that the sender knows of a topic, in one or more messages.
 struct topic_snapshot {
     shared_topic topic = shared_topic::registrations;
-    std::uint64_t next = 0;
+    topic_position next;
     // How long ago the sender's knowledge was as new as the store's.
     duration age{};
     std::uint32_t part = 0;
     std::uint32_t parts = 1;
     std::vector<shared_record> records;
+    // Random if each receiver forwards the message along the broadcast trees, zero if the sender
+    // answers one daemon.
+    std::uint64_t broadcast_id = 0;
 
     bool operator==(const topic_snapshot&) const = default;
 };
@@ -107,11 +122,11 @@
     bool operator==(const member_digests&) const = default;
 };
 
-// Asks for what the receiver knows of the topics beyond these offsets.
+// Asks for what the receiver knows of the topics beyond these positions.
 struct topics_pull {
     member_entry sender;
-    std::uint64_t operators_next = 0;
-    std::uint64_t registrations_next = 0;
+    topic_position operators_next;
+    topic_position registrations_next;
     // The sender has just started and knows neither the topics nor the members.
     bool wants_snapshot = false;
     // How often this request has been redirected.
@@ -123,8 +138,9 @@
 // The answer to a pull: the records in [from, next) that change anything.
 struct topic_update {
     shared_topic topic = shared_topic::registrations;
+    // An offset in the epoch of `next`.
     std::uint64_t from = 0;
-    std::uint64_t next = 0;
+    topic_position next;
     // How long ago the sender's knowledge was as new as the store's.
     duration age{};
     std::vector<shared_record> records;
--- a/tests/support/sharing_cluster.cpp
+++ b/tests/support/sharing_cluster.cpp
@@ -79,6 +79,7 @@
         this->before_restore[name] = log.newest;
     }
     this->topics = this->backup;
+    ++this->epoch;
     const auto waiting_reads = this->waiting;
     for (const auto& each : waiting_reads) {
         this->finish(each, false);
@@ -122,6 +123,7 @@
             list.ok = answered;
             if (answered) {
                 const auto& log = this->topics[name];
+                list.epoch = this->epoch;
                 list.next_offset = log.first_offset + log.records.size();
                 for (const auto& [key, record] : log.newest) {
                     list.records.push_back(record);
@@ -161,6 +163,7 @@
     }
     std::erase(this->waiting, read);
     platform::keyed_read result;
+    result.epoch = this->epoch;
     const auto& log = this->topics[read->topic];
     if (answered && (read->first_offset < log.first_offset ||
                      read->first_offset > log.first_offset + log.records.size())) {
--- a/tests/support/sharing_cluster.hpp
+++ b/tests/support/sharing_cluster.hpp
@@ -68,6 +68,7 @@
     random_source random;
     std::map<std::string, topic_log> topics;
     std::map<std::string, topic_log> backup;
+    std::uint64_t epoch = 0;
     // The newest records at the time of the last restore, by topic.
     std::map<std::string, std::map<std::string, platform::keyed_record>> before_restore;
     std::vector<std::shared_ptr<waiting_read>> waiting;
