Log and count every 4xx that a gateway gives itself

Callers saw proper requests ended with a 4xx of the gateways. Of the ways to such an answer only no_route left a trace, and that without the route that was asked for: messages refused before a decision (400, 413, 431, 408) were neither logged nor counted, and the log did not tell an unsigned answer that was passed on.

Change: the event reject, the metric azureshore_client_errors_total by status and cause, the host and path in the refusal of a request that was not admitted, and signed in attempt_ended.

--- a/src/azureshore/balance/internal/attempts.cpp
+++ b/src/azureshore/balance/internal/attempts.cpp
@@ -146,6 +146,7 @@
                        : result.answer_too_large            ? "answer_too_large"
                                                             : "unknown"},
                {"status", std::to_string(result.status)},
+               {"signed", result.is_signed ? "true" : "false"},
                {"ms", format_decimal(to_milliseconds(now - ended_attempt.sent_at))}});
     if (result.end == attempt_end::answered) {
         this->handle_answer(*request, attempt, ended_attempt, result);
--- a/src/azureshore/balance/internal/endings.cpp
+++ b/src/azureshore/balance/internal/endings.cpp
@@ -6,6 +6,13 @@
 
 namespace azureshore::balance {
 
+namespace {
+
+// Bounds the length of a line of the log.
+constexpr std::size_t max_logged_path = 100;
+
+} // namespace
+
 void dispatcher::state::handle_deadline(request_number number)
 {
     auto* request = this->find_request(number);
@@ -93,6 +100,8 @@
              {{"request", incoming.id},
               {"cause", std::string(to_string(answer.cause))},
               {"status", std::to_string(answer.status)},
+              {"host", incoming.host},
+              {"path", incoming.path.substr(0, max_logged_path)},
               {"version",
                std::to_string(this->configuration ? this->configuration->version : 0)}}});
     }
--- a/src/azureshore/gateway/backend_pool.cpp
+++ b/src/azureshore/gateway/backend_pool.cpp
@@ -249,6 +249,7 @@
         }
         const auto& answer = result.answer;
         ended.status = answer.status;
+        ended.is_signed = answers_at_all(answer, this->words);
         ended.load = this->words.read_load(net::find_field(answer.fields, this->words.load));
         const bool declined = answer.status == status_misdirected ||
                               !net::find_field(answer.fields, this->words.not_run).empty();
--- a/src/azureshore/gateway/gateway.cpp
+++ b/src/azureshore/gateway/gateway.cpp
@@ -20,6 +20,7 @@
 namespace {
 
 constexpr int status_bad_request = 400;
+constexpr int first_server_error = 500;
 
 // Text of a duration as Retry-After takes it here: seconds with a fraction.
 std::string seconds_text(duration wait)
@@ -50,8 +51,8 @@
     state(asio::io_context& context, const gateway_settings& settings, dialect spelling,
           observe::decision_hook decided, std::function<void(std::uint64_t)> suspected)
         : executor(context), words(std::move(spelling)), pool(context, this->words),
-          decisions(settings.data_centre, settings.bounds,
-                    this->make_hooks(std::move(decided), std::move(suspected))),
+          log(std::move(decided)),
+          decisions(settings.data_centre, settings.bounds, this->make_hooks(std::move(suspected))),
           port(context, settings.callers, this->make_port_hooks())
     {
     }
@@ -75,7 +76,7 @@
         counters.add("azureshore_backend_connections_opened_total", {}, this->pool.opened());
         counters.set("azureshore_held_answer_bytes", {},
                      static_cast<double>(this->pool.held_bytes()));
-        auto text = counters.to_text();
+        auto text = counters.to_text() + this->client_errors.to_text();
         this->times.write(text);
         return text;
     }
@@ -83,6 +84,7 @@
     asio::io_context& executor;
     dialect words;
     backend_pool pool;
+    observe::decision_hook log;
     balance::dispatcher decisions;
     http_port port;
 
@@ -92,8 +94,7 @@
         std::map<attempt_number, http1::response> answers;
     };
 
-    balance::dispatcher_hooks make_hooks(observe::decision_hook decided,
-                                         std::function<void(std::uint64_t)> suspected)
+    balance::dispatcher_hooks make_hooks(std::function<void(std::uint64_t)> suspected)
     {
         balance::dispatcher_hooks hooks;
         hooks.clock = steady_now;
@@ -121,7 +122,7 @@
             this->refuse(request, why);
         };
         hooks.random = system_random();
-        hooks.decided = std::move(decided);
+        hooks.decided = this->log;
         hooks.suspected = std::move(suspected);
         hooks.completed = [this](const balance::completed_request& request) {
             this->times.ended(request);
@@ -139,6 +140,9 @@
             this->requests.erase(number);
             this->decisions.caller_gone(number);
         };
+        hooks.rejected = [this](int status, std::string_view cause) {
+            this->reject(status, cause, {});
+        };
         return hooks;
     }
 
@@ -156,6 +160,8 @@
     void begin(request_number number, http1::request request)
     {
         if (!well_formed(request)) {
+            this->reject(status_bad_request, "no_single_host_and_path",
+                         net::find_field(request.fields, this->words.request_id));
             http1::response refused;
             refused.status = status_bad_request;
             this->port.answer(number, std::move(refused));
@@ -177,6 +183,25 @@
         this->decisions.begin(arrived);
     }
 
+    // Logs a request that never reaches a decision.
+    void reject(int status, std::string_view cause, std::string_view id)
+    {
+        this->count_client_error(status, cause);
+        if (this->log) {
+            this->log({"reject",
+                       {{"request", std::string(id)},
+                        {"cause", std::string(cause)},
+                        {"status", std::to_string(status)}}});
+        }
+    }
+
+    void count_client_error(int status, std::string_view cause)
+    {
+        this->client_errors.add(
+            "azureshore_client_errors_total",
+            {{"cause", std::string(cause)}, {"status", std::to_string(status)}});
+    }
+
     void send(const balance::attempt_order& order)
     {
         this->pool.send(
@@ -215,6 +240,9 @@
 
     void refuse(request_number request, const balance::refusal& why)
     {
+        if (why.status < first_server_error) {
+            this->count_client_error(why.status, balance::to_string(why.cause));
+        }
         const auto stored = this->requests.extract(request);
         http1::response answer;
         answer.status = why.status;
@@ -233,6 +261,7 @@
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     std::unordered_map<request_number, stored_request> requests;
     detail::request_times times;
+    observe::metrics client_errors;
 };
 
 http_gateway::http_gateway(asio::io_context& executor, const gateway_settings& settings,
--- a/src/azureshore/gateway/http_port.cpp
+++ b/src/azureshore/gateway/http_port.cpp
@@ -99,10 +99,10 @@
         }
     }
 
-    void rejected(int status) override
+    void rejected(int status, std::string_view cause) override
     {
         if (this->hooks.rejected) {
-            this->hooks.rejected(status);
+            this->hooks.rejected(status, cause);
         }
     }
 
--- a/src/azureshore/gateway/http_port.hpp
+++ b/src/azureshore/gateway/http_port.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace asio {
 class io_context;
@@ -22,8 +23,9 @@
     std::function<void(request_number, http1::request)> request;
     // The connection of a request without an answer has closed. May be empty.
     std::function<void(request_number)> gone;
-    // A request was refused before it was whole, with this status. May be empty.
-    std::function<void(int status)> rejected;
+    // A request was refused before it was whole, with this status and for this cause, which refers
+    // to a string literal. May be empty.
+    std::function<void(int status, std::string_view cause)> rejected;
 };
 
 // An HTTP/1.1 server on one address. Unlike a server that hands out requests and forgets them, it
--- a/src/azureshore/gateway/internal/caller_connection.cpp
+++ b/src/azureshore/gateway/internal/caller_connection.cpp
@@ -93,13 +93,13 @@
         this->request_complete();
         return;
     case http1::read_state::malformed:
-        this->reject(status_bad_request);
+        this->reject(status_bad_request, "malformed");
         return;
     case http1::read_state::header_too_large:
-        this->reject(status_header_too_large);
+        this->reject(status_header_too_large, "header_too_large");
         return;
     case http1::read_state::body_too_large:
-        this->reject(status_content_too_large);
+        this->reject(status_content_too_large, "body_too_large");
         return;
     }
 }
@@ -152,9 +152,9 @@
     this->write(http1::write_response(answer, this->to_head));
 }
 
-void caller_connection::reject(int status)
+void caller_connection::reject(int status, std::string_view cause)
 {
-    this->owner.rejected(status);
+    this->owner.rejected(status, cause);
     this->close_after = true;
     http1::response refused;
     refused.status = status;
@@ -252,7 +252,7 @@
 void caller_connection::timer_expired()
 {
     if (this->now == phase::reading && this->reader.begun()) {
-        this->reject(status_request_timeout);
+        this->reject(status_request_timeout, "incomplete_in_time");
         return;
     }
     if (this->now != phase::waiting) {
--- a/src/azureshore/gateway/internal/caller_connection.hpp
+++ b/src/azureshore/gateway/internal/caller_connection.hpp
@@ -31,7 +31,7 @@
     virtual request_number request_came(const std::shared_ptr<caller_connection>& from) = 0;
     virtual void handle(request_number number, http1::request request) = 0;
     virtual void caller_left(request_number number) = 0;
-    virtual void rejected(int status) = 0;
+    virtual void rejected(int status, std::string_view cause) = 0;
     virtual void closed(const std::shared_ptr<caller_connection>& which) = 0;
     [[nodiscard]] virtual const balance::caller_limits& limits() const = 0;
     [[nodiscard]] virtual bool keeps_connections() const = 0;
@@ -57,7 +57,7 @@
     void bytes_came(std::size_t count);
     void take_bytes();
     void request_complete();
-    void reject(int status);
+    void reject(int status, std::string_view cause);
     void write(std::string bytes);
     void written();
     void linger();
--- a/tests/gateway/gateway_tests.cpp
+++ b/tests/gateway/gateway_tests.cpp
@@ -384,4 +384,33 @@
     BOOST_TEST(page.find("azureshore_requests_total 1\n") != std::string::npos);
 }
 
+// Guards against a 4xx of the gateway that neither its log nor its metrics show.
+BOOST_AUTO_TEST_CASE(every_4xx_of_its_own_is_counted_by_its_cause)
+{
+    one_backend of(answer_ok);
+    balance::caller_limits limits;
+    limits.max_header_bytes = 400;
+    limits.max_body_bytes = 100;
+    of.gateway.configure(limits);
+    for (const auto& bytes :
+         {std::string("nonsense\r\n\r\n"), request_text("GET /plates/1", std::string(500, 'x')),
+          request_text("POST /orders/1", "r", "Content-Length: 101\r\n"),
+          std::string("GET /plates/1 HTTP/1.1\r\nConnection: close\r\n\r\n"),
+          request_text("GET /nowhere/1", "r", "Connection: close\r\n")}) {
+        raw_client caller(of.gateway.port());
+        caller.send(bytes);
+        caller.read_to_end();
+    }
+    std::string page;
+    of.gateway.run([&page](const gateway::http_gateway& gateway) { page = gateway.metrics(); });
+    for (const std::string labels :
+         {"cause=\"malformed\",status=\"400\"", "cause=\"header_too_large\",status=\"431\"",
+          "cause=\"body_too_large\",status=\"413\"",
+          "cause=\"no_single_host_and_path\",status=\"400\"",
+          "cause=\"no_route\",status=\"404\""}) {
+        const auto line = fmt::format("azureshore_client_errors_total{{{}}} 1\n", labels);
+        BOOST_TEST(page.find(line) != std::string::npos, line);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
