Send a topic that the reader listed again along the trees

After a restore, and when records had expired, only the reader had the new list. The others found a gap before its next news, asked three daemons that lacked the records too, and then each called the store.

--- a/src/azureshore/sharing/internal/messages.cpp
+++ b/src/azureshore/sharing/internal/messages.cpp
@@ -49,8 +49,7 @@
 
 } // namespace
 
-void store_sharing::state::send_all_records(const wire::member_entry& recipient,
-                                            const topic_state& topic)
+std::vector<wire::topic_snapshot> store_sharing::state::snapshot_of(const topic_state& topic) const
 {
     wire::topic_news all;
     all.next = topic.next;
@@ -58,12 +57,39 @@
         all.records.push_back(newest.record);
     }
     auto parts = split_news(std::move(all));
-    std::uint32_t part_number = 0;
+    std::vector<wire::topic_snapshot> snapshot;
     for (auto& part : parts) {
-        this->send_to({recipient},
-                      wire::topic_snapshot{
-                          topic.kind, topic.next, this->now() - topic.current_as_of, part_number++,
-                          static_cast<std::uint32_t>(parts.size()), std::move(part.records)});
+        snapshot.push_back({topic.kind, topic.next, this->now() - topic.current_as_of,
+                            static_cast<std::uint32_t>(snapshot.size()),
+                            static_cast<std::uint32_t>(parts.size()), std::move(part.records)});
+    }
+    return snapshot;
+}
+
+void store_sharing::state::send_all_records(const wire::member_entry& recipient,
+                                            const topic_state& topic)
+{
+    for (const auto& part : this->snapshot_of(topic)) {
+        this->send_to({recipient}, part);
+    }
+}
+
+// News alone would leave a gap between what the others know and what was listed, and each of them
+// would have to close it with calls of its own.
+void store_sharing::state::broadcast_unsent_snapshots()
+{
+    if (!this->is_reader()) {
+        return;
+    }
+    for (auto& topic : this->topics) {
+        if (!std::exchange(topic.snapshot_unsent, false)) {
+            continue;
+        }
+        for (auto& part : this->snapshot_of(topic)) {
+            part.broadcast_id = this->hooks.random();
+            this->first_receipt(part.broadcast_id);
+            this->broadcast(part);
+        }
     }
 }
 
@@ -220,7 +246,13 @@
         }
     }
     else if (const auto* snapshot = std::get_if<wire::topic_snapshot>(&received.body)) {
-        this->handle_snapshot(*snapshot);
+        if (snapshot->broadcast_id == 0) {
+            this->handle_snapshot(*snapshot);
+        }
+        else if (this->first_receipt(snapshot->broadcast_id)) {
+            this->send_to(this->known_members.children(), received.body);
+            this->handle_snapshot(*snapshot);
+        }
     }
     else if (const auto* update = std::get_if<wire::topic_update>(&received.body)) {
         this->handle_update(*update);
@@ -280,6 +312,7 @@
             this->report_dropped_record(topic, news, each);
         }
     }
+    topic.snapshot_unsent = false;
     // This daemon's next read starts after the records of this message. Between its earlier reads
     // and the next one there is a gap, so they can no longer be sent together.
     topic.recent_reads.clear();
--- a/src/azureshore/sharing/internal/reading.cpp
+++ b/src/azureshore/sharing/internal/reading.cpp
@@ -65,9 +65,11 @@
     }
     // Other daemons may have told more while the store was listing.
     if (!topic.listed || next > topic.next) {
+        topic.snapshot_unsent = topic.listed;
         this->apply_list(topic, next, result.records);
     }
     this->handle_store_success(topic, began);
+    this->broadcast_unsent_snapshots();
     this->serve_waiting_daemons();
     this->check_staleness();
 }
@@ -122,6 +124,7 @@
     }
     this->apply_read(topic, result);
     this->handle_store_success(topic, began);
+    this->broadcast_unsent_snapshots();
     const bool has_news = topic.kind == wire::shared_topic::registrations ||
                           !topic.recent_reads.back().records.empty();
     auto& operators = this->topic_for(wire::shared_topic::operators);
--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -60,6 +60,8 @@
         // after the last record of the whole snapshot.
         std::map<std::uint32_t, std::vector<wire::shared_record>> snapshot_parts{};
         wire::topic_position snapshot_next{};
+        // This daemon listed the topic again, and the others may lack what it took over.
+        bool snapshot_unsent = false;
     };
 
     topic_state& topic_for(wire::shared_topic kind);
@@ -115,7 +117,10 @@
     void send_snapshot(const wire::member_entry& recipient);
     void send_update(const wire::member_entry& recipient, topic_state& topic,
                      const wire::topic_position& from);
+    // All that this daemon knows of a topic.
+    [[nodiscard]] std::vector<wire::topic_snapshot> snapshot_of(const topic_state& topic) const;
     void send_all_records(const wire::member_entry& recipient, const topic_state& topic);
+    void broadcast_unsent_snapshots();
     [[nodiscard]] bool may_serve_snapshots() const;
     void handle_snapshot(const wire::topic_snapshot& snapshot);
     void handle_update(const wire::topic_update& update);
--- a/tests/restored_store/restored_store_tests.cpp
+++ b/tests/restored_store/restored_store_tests.cpp
@@ -17,7 +17,7 @@
 // The time within which a record that the store accepts takes effect on every daemon.
 constexpr duration apply_bound = 2s;
 
-const std::vector<std::size_t> fleet_sizes{2, 13, 60};
+const std::vector<std::size_t> fleet_sizes{2, 13, 60, 300};
 
 class restored_cluster : public sharing_cluster {
 public:
@@ -114,6 +114,23 @@
     cluster.check_known(shared_topic::operators, "config", "4");
 }
 
+// Guards against a restore after which every daemon calls the store.
+BOOST_DATA_TEST_CASE(a_restore_makes_few_daemons_call_the_store, fleet_sizes, daemons)
+{
+    restored_cluster cluster(daemons, 4);
+    cluster.store.take_backup();
+    cluster.store.put(sharing_cluster::operators, "config", "2");
+    cluster.store.put(sharing_cluster::registrations, "plate-1", "ready 2");
+    cluster.clock.run_for(apply_bound);
+    cluster.store.restore_backup();
+    cluster.store.write_lost_records_again();
+    const auto calls_before = cluster.store.calls;
+    cluster.clock.run_for(5s);
+    // The reader reads both topics once a second, lists each once, announces itself and lists the
+    // members. One standby reader may do the same.
+    BOOST_TEST(cluster.store.calls - calls_before <= 2U * (2 * 5 + 4));
+}
+
 // Random schedules of changes, restores, lost messages, kills, and daemons that the store does not
 // answer. Each daemon that ran throughout a step and was answered must know the change in time.
 BOOST_AUTO_TEST_CASE(every_change_is_known_within_the_bound_over_random_restores)
