--- a/src/azureshore/sharing/internal/joining.cpp
+++ b/src/azureshore/sharing/internal/joining.cpp
@@ -315,6 +315,35 @@
     }
 }
 
+std::optional<std::vector<platform::keyed_record>>
+store_sharing::state::assemble_snapshot(topic_state& topic, const wire::topic_snapshot& part)
+{
+    // Answers of several daemons may arrive by turns.
+    constexpr std::size_t max_partial_snapshots = 4;
+    auto& partial = topic.partial_snapshots;
+    auto found = std::find_if(partial.begin(), partial.end(), [&](const partial_snapshot& each) {
+        return each.id == part.snapshot_id;
+    });
+    if (found == partial.end()) {
+        if (partial.size() == max_partial_snapshots) {
+            partial.pop_front();
+        }
+        found = partial.insert(partial.end(), {part.snapshot_id, {}});
+    }
+    found->parts[part.part] = part.records;
+    if (found->parts.size() < part.parts) {
+        return std::nullopt;
+    }
+    std::vector<platform::keyed_record> records;
+    for (const auto& [part_number, part_records] : found->parts) {
+        for (const auto& each : part_records) {
+            records.push_back({each.offset, each.key, each.value});
+        }
+    }
+    partial.clear();
+    return records;
+}
+
 void store_sharing::state::handle_snapshot(const wire::topic_snapshot& snapshot)
 {
     this->peer_answered_at = this->now();
@@ -322,22 +351,11 @@
     if (snapshot.parts == 0 || (topic.listed && snapshot.next <= topic.next)) {
         return;
     }
-    if (topic.snapshot_next != snapshot.next) {
-        topic.snapshot_parts.clear();
-        topic.snapshot_next = snapshot.next;
-    }
-    topic.snapshot_parts[snapshot.part] = snapshot.records;
-    if (topic.snapshot_parts.size() < snapshot.parts) {
+    const auto records = assemble_snapshot(topic, snapshot);
+    if (!records) {
         return;
     }
-    std::vector<platform::keyed_record> records;
-    for (const auto& [part_number, part] : topic.snapshot_parts) {
-        for (const auto& each : part) {
-            records.push_back({each.offset, each.key, each.value});
-        }
-    }
-    topic.snapshot_parts.clear();
-    this->apply_list(topic, snapshot.next, records);
+    this->apply_list(topic, snapshot.next, *records);
     topic.missed_records = false;
     topic.current_as_of = this->now() - std::clamp(snapshot.age, duration{}, max_age);
     this->serve_waiting_daemons();
--- a/src/azureshore/sharing/internal/messages.cpp
+++ b/src/azureshore/sharing/internal/messages.cpp
@@ -57,11 +57,12 @@
         all.records.push_back(newest.record);
     }
     auto parts = split_news(std::move(all));
+    const auto id = this->hooks.random();
     std::vector<wire::topic_snapshot> snapshot;
     for (auto& part : parts) {
         snapshot.push_back({topic.kind, topic.next, this->now() - topic.current_as_of,
                             static_cast<std::uint32_t>(snapshot.size()),
-                            static_cast<std::uint32_t>(parts.size()), std::move(part.records)});
+                            static_cast<std::uint32_t>(parts.size()), std::move(part.records), id});
     }
     return snapshot;
 }
--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -37,6 +37,11 @@
         wire::shared_record record;
         std::uint64_t changed_offset = 0;
     };
+    // The parts received so far of a snapshot, by part number.
+    struct partial_snapshot {
+        std::uint64_t id = 0;
+        std::map<std::uint32_t, std::vector<wire::shared_record>> parts;
+    };
     struct topic_state {
         wire::shared_topic kind;
         platform::keyed_topic store;
@@ -56,10 +61,8 @@
         // Removals by offset. Those before history_begin are not known.
         std::map<std::uint64_t, std::string> removed_keys{};
         std::uint64_t history_begin = 0;
-        // The parts received so far of an incomplete snapshot, by part number, and the position
-        // after the last record of the whole snapshot.
-        std::map<std::uint32_t, std::vector<wire::shared_record>> snapshot_parts{};
-        wire::topic_position snapshot_next{};
+        // The latest incomplete snapshots, the oldest first.
+        std::deque<partial_snapshot> partial_snapshots{};
         // This daemon listed the topic again, and the others may lack what it took over.
         bool snapshot_unsent = false;
     };
@@ -123,6 +126,9 @@
     void broadcast_unsent_snapshots();
     [[nodiscard]] bool may_serve_snapshots() const;
     void handle_snapshot(const wire::topic_snapshot& snapshot);
+    // Returns all records once every part has come.
+    static std::optional<std::vector<platform::keyed_record>>
+    assemble_snapshot(topic_state& topic, const wire::topic_snapshot& part);
     void handle_update(const wire::topic_update& update);
     void pull_from_others();
     void fetch_missed_records(topic_state& topic);
--- a/src/azureshore/wire/sharing_messages.hpp
+++ b/src/azureshore/wire/sharing_messages.hpp
@@ -74,6 +74,9 @@
     std::uint32_t part = 0;
     std::uint32_t parts = 1;
     std::vector<shared_record> records;
+    // Random, the same for all parts of a snapshot: those of daemons that know the same records may
+    // be divided differently.
+    std::uint64_t snapshot_id = 0;
     // Random if each receiver forwards the message along the broadcast trees, zero if the sender
     // answers one daemon.
     std::uint64_t broadcast_id = 0;
--- a/tests/sharing/store_sharing_tests.cpp
+++ b/tests/sharing/store_sharing_tests.cpp
@@ -1,5 +1,5 @@
-#include "support/sharing_cluster.hpp"
 #include "support/environment.hpp"
+#include "support/sharing_cluster.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -261,6 +261,30 @@
     BOOST_TEST(cluster->store.calls - calls_before <= 8U);
 }
 
+// Guards against records that get lost between parts of two snapshots with the same end.
+BOOST_AUTO_TEST_CASE(parts_of_snapshots_of_two_daemons_are_not_put_together)
+{
+    sharing_cluster cluster(1, 19);
+    cluster.store.unanswered_callers.insert("*");
+    cluster.start(0);
+    const auto snapshot = [](std::uint64_t id, std::uint32_t part,
+                             const std::vector<std::string>& keys) {
+        wire::topic_snapshot made{shared_topic::registrations, {0, 9}, 0s, part, 2, {}, id};
+        for (const auto& each : keys) {
+            made.records.push_back({4, each, "ready"});
+        }
+        return made;
+    };
+    auto& daemon = cluster.sharing_of(0);
+    daemon.receive({{"vm-1"}, snapshot(1, 0, {"a"})});
+    daemon.receive({{"vm-2"}, snapshot(2, 1, {"c"})});
+    BOOST_TEST(cluster.known_value(0, shared_topic::registrations, "c").empty());
+    daemon.receive({{"vm-2"}, snapshot(2, 0, {"a", "b"})});
+    for (const std::string key : {"a", "b", "c"}) {
+        BOOST_TEST(cluster.known_value(0, shared_topic::registrations, key) == "ready", key);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(every_daemon_learns_the_total_request_rate)
 {
     auto cluster = settled_cluster(daemon_count, 18);
--- a/tests/wire/message_tests.cpp
+++ b/tests/wire/message_tests.cpp
@@ -93,6 +93,7 @@
                            1,
                            2,
                            {{4, "plate-1", std::nullopt}},
+                           80,
                            79},
             member_digests{leaving_member, {1, 2, 3}, true},
             topics_pull{leaving_member, {1, 5}, {1, 6}, true, 2},
