--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -23,8 +23,8 @@
     members known_members;
     bool members_listed = false;
     double total_request_rate = 0;
+    std::uint64_t dropped_record_count = 0;
 
-private:
     // The records of one read in [first_offset, next_offset) that changed anything. They are sent
     // again with the next reads, so that a lost message does no harm.
     struct read_round {
@@ -37,6 +37,11 @@
         wire::shared_record record;
         std::uint64_t changed_offset = 0;
     };
+    // The parts received so far of a snapshot, by part number.
+    struct partial_snapshot {
+        std::uint64_t id = 0;
+        std::map<std::uint32_t, std::vector<wire::shared_record>> parts;
+    };
     struct topic_state {
         wire::shared_topic kind;
         platform::keyed_topic store;
@@ -44,7 +49,8 @@
         bool call_in_flight = false;
         // Another read starts as soon as the one in flight ends.
         bool read_again = false;
-        std::uint64_t next_offset = 0;
+        // The position after the last record that this daemon knows.
+        wire::topic_position next{};
         // The last time at which this daemon knew all that the store held.
         time_point current_as_of{};
         bool last_call_failed = false;
@@ -55,18 +61,22 @@
         // Removals by offset. Those before history_begin are not known.
         std::map<std::uint64_t, std::string> removed_keys{};
         std::uint64_t history_begin = 0;
-        // The parts received so far of an incomplete snapshot, by part number, and the offset after
-        // the last record of the whole snapshot.
-        std::map<std::uint32_t, std::vector<wire::shared_record>> snapshot_parts{};
-        std::uint64_t snapshot_next_offset = 0;
+        // The latest incomplete snapshots, the oldest first.
+        std::deque<partial_snapshot> partial_snapshots{};
+        // This daemon listed the topic again, and the others may lack what it took over.
+        bool snapshot_unsent = false;
     };
+
+    topic_state& topic_for(wire::shared_topic kind);
+    [[nodiscard]] const topic_state& topic_for(wire::shared_topic kind) const;
+
+private:
     struct child_report {
         std::size_t missed_rounds = 0;
         double request_rate = 0;
     };
 
     [[nodiscard]] time_point now() const { return this->hooks.clock(); }
-    topic_state& topic_for(wire::shared_topic kind);
     void run_after(duration delay, std::function<void(state&)> action);
     // A random delay between the given one and one and a half of it.
     duration jittered(duration delay);
@@ -75,13 +85,17 @@
     void list_topic(topic_state& topic);
     void list_unlisted_topics();
     void read_topic(topic_state& topic, std::chrono::milliseconds max_wait);
-    void handle_read_result(topic_state& topic, time_point began,
+    void handle_list_result(topic_state& topic, time_point began,
+                            const platform::keyed_list& result);
+    void handle_list_failure(topic_state& topic);
+    void handle_read_result(topic_state& topic, time_point began, const wire::topic_position& from,
                             const platform::keyed_read& result);
     void handle_store_failure(topic_state& topic);
     void handle_store_success(topic_state& topic, time_point began);
     void apply_read(topic_state& topic, const platform::keyed_read& result);
-    void apply_list(topic_state& topic, std::uint64_t next_offset,
+    void apply_list(topic_state& topic, const wire::topic_position& next,
                     const std::vector<platform::keyed_record>& records);
+    void report_restore(const topic_state& topic, const wire::topic_position& next) const;
     bool apply_record(topic_state& topic, const platform::keyed_record& record);
     void announce();
     void list_members();
@@ -104,10 +118,17 @@
     [[nodiscard]] wire::pull_redirect make_redirect(std::vector<wire::member_entry> targets,
                                                     std::uint32_t redirects) const;
     void send_snapshot(const wire::member_entry& recipient);
-    void send_update(const wire::member_entry& recipient, topic_state& topic, std::uint64_t from);
+    void send_update(const wire::member_entry& recipient, topic_state& topic,
+                     const wire::topic_position& from);
+    // All that this daemon knows of a topic.
+    [[nodiscard]] std::vector<wire::topic_snapshot> snapshot_of(const topic_state& topic) const;
     void send_all_records(const wire::member_entry& recipient, const topic_state& topic);
+    void broadcast_unsent_snapshots();
     [[nodiscard]] bool may_serve_snapshots() const;
     void handle_snapshot(const wire::topic_snapshot& snapshot);
+    // Returns all records once every part has come.
+    static std::optional<std::vector<platform::keyed_record>>
+    assemble_snapshot(topic_state& topic, const wire::topic_snapshot& part);
     void handle_update(const wire::topic_update& update);
     void pull_from_others();
     void fetch_missed_records(topic_state& topic);
@@ -128,6 +149,9 @@
     void broadcast(const wire::message& body);
     void send_news(topic_state& topic);
     void handle_news(const wire::topic_news& news);
+    [[nodiscard]] static bool has_seen(const topic_state& topic, const wire::shared_record& record);
+    void report_dropped_record(const topic_state& topic, const wire::topic_news& news,
+                               const wire::shared_record& record);
     // Remembers a broadcast and returns whether it is new to this daemon.
     bool first_receipt(std::uint64_t broadcast_id);
     void set_store_unavailable(bool unavailable);
--- a/src/azureshore/sharing/store_sharing.hpp
+++ b/src/azureshore/sharing/store_sharing.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "azureshore/core/random.hpp"
+#include "azureshore/observe/decision.hpp"
 #include "azureshore/platform/keyed_topic.hpp"
 #include "azureshore/sharing/members.hpp"
 #include "azureshore/wire/message.hpp"
@@ -47,6 +48,8 @@
     std::function<void(std::uint64_t fingerprint)> crash_suspected;
     // Returns the requests per second that this daemon receives.
     std::function<double()> request_rate;
+    // Logs what this daemon does with what it hears. May be empty.
+    observe::decision_hook decided;
     random_source random;
 };
 
@@ -70,7 +73,13 @@
 // A daemon that receives no news message for a fraction of `apply_within` reads the store itself if
 // it is one of the first in rank order. The others ask two daemons for what they have missed first.
 // If those have missed it too, a few daemons at random read the store; a daemon that gets no answer
-// reads it in any case. The daemons need not agree on which one is the reader: two readers only
+// reads it in any case.
+//
+// A store that was restored from a backup starts a new epoch. A daemon that finds or hears of a
+// later epoch replaces what it knows of a topic as a whole, and ignores what others know of earlier
+// ones.
+//
+// The daemons need not agree on which one is the reader: two readers only
 // cost more calls. All calls must come from one thread.
 class store_sharing {
 public:
@@ -99,6 +108,13 @@
     // Returns whether the announcements of the other daemons have been listed.
     [[nodiscard]] bool members_listed() const;
 
+    // Returns the position after the last record of a topic that this daemon knows.
+    [[nodiscard]] wire::topic_position next_position(wire::shared_topic topic) const;
+
+    // Returns how many records of others' news this daemon dropped without knowing them, because it
+    // knew later offsets.
+    [[nodiscard]] std::uint64_t dropped_record_count() const;
+
     // Returns the requests per second of all daemons that have reported theirs, or zero if unknown.
     [[nodiscard]] double total_request_rate() const;
 
