Keep what is known to be newer when a restored store is taken over

After a restore the store lists what it held some seconds before: a data centre that was taken out of service since is missing, a backend server that drains or has left is listed as ready, and the configuration is an older one. Gateways took the data centre back into service at once, removed backend servers that the copy lacks unless an outage had been noticed, and passed the older records on to daemons that start.

Cause: a list of the store was taken for the latest state as a whole.

Change: a list of a later epoch is merged. Data centres out of service stay so for ten seconds without their record, until the operators have written it again; registrations that are missing get the grace period of a lapse; a registration with an earlier sequence does not undo a later state, with or without a time of start.

--- a/src/azureshore/balance/backend_registry.cpp
+++ b/src/azureshore/balance/backend_registry.cpp
@@ -51,6 +51,19 @@
     return false;
 }
 
+bool backend_registry::is_outdated_after_restore(const registration& incoming) const
+{
+    if (incoming.started_at != 0) {
+        return this->is_outdated(incoming);
+    }
+    if (const auto found = this->entries.find(incoming.id); found != this->entries.end()) {
+        return found->second.last.endpoint == incoming.endpoint &&
+               incoming.sequence < found->second.last.sequence;
+    }
+    const auto found = this->tombstones.find(incoming.id);
+    return found != this->tombstones.end() && incoming.sequence <= found->second.sequence;
+}
+
 bool backend_registry::is_lapse_likely(time_point now) const
 {
     return this->store_unavailable ||
@@ -97,6 +110,31 @@
         present.insert(each.id);
         this->apply_registration(each);
     }
+    this->remove_missing(now, present);
+}
+
+std::set<backend_id> backend_registry::merge_restored_list(time_point now,
+                                                           const std::vector<registration>& all)
+{
+    // Records written after the backup count as lapsed, not as withdrawn.
+    this->store_available_since = now;
+    std::set<backend_id> present;
+    std::set<backend_id> outdated;
+    for (const auto& each : all) {
+        present.insert(each.id);
+        if (this->is_outdated_after_restore(each)) {
+            outdated.insert(each.id);
+        }
+        else {
+            this->apply_registration(each);
+        }
+    }
+    this->remove_missing(now, present);
+    return outdated;
+}
+
+void backend_registry::remove_missing(time_point now, const std::set<backend_id>& present)
+{
     std::vector<backend_id> missing;
     for (const auto& [id, current] : this->entries) {
         if (!present.contains(id)) {
--- a/src/azureshore/balance/backend_registry.hpp
+++ b/src/azureshore/balance/backend_registry.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,11 @@
     // Applies the complete list of registrations; those missing from it are removed.
     void apply_full_list(time_point now, const std::vector<registration>& all);
 
+    // Merges the list of a store that was restored from a backup, which may be older than what is
+    // known. Registrations missing from it are kept for a grace period. Returns those in the list
+    // that are older than the known state of their backend server.
+    std::set<backend_id> merge_restored_list(time_point now, const std::vector<registration>& all);
+
     // To be called when the store stops and starts answering.
     void store_became_unavailable();
     void store_became_available(time_point now);
@@ -54,6 +60,9 @@
 
     // Whether a registration is older than the latest one of that backend server.
     [[nodiscard]] bool is_outdated(const registration& incoming) const;
+    // The same for one from a restored store, where a lower sequence of an unknown run is older.
+    [[nodiscard]] bool is_outdated_after_restore(const registration& incoming) const;
+    void remove_missing(time_point now, const std::set<backend_id>& present);
     [[nodiscard]] bool is_lapse_likely(time_point now) const;
     void remove(const backend_id& id, const std::string& reason);
 
--- a/src/azureshore/daemon/internal/gateway_store.cpp
+++ b/src/azureshore/daemon/internal/gateway_store.cpp
@@ -5,6 +5,7 @@
 
 #include <asio/io_context.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace azureshore::daemon::detail {
@@ -13,6 +14,9 @@
 
 // How often lapsed registrations are looked at.
 constexpr duration tick_interval = std::chrono::milliseconds(250);
+// Operators write again what a restored store has lost. A data centre stays out of service for this
+// long without its record.
+constexpr duration rewrite_grace = std::chrono::seconds(10);
 
 // All daemons listen for each other at the same port.
 std::vector<address> peers_of(const settings::gateway_settings& settings)
@@ -103,7 +107,7 @@
 
 bool gateway_store::known() const
 {
-    return this->configured && this->sharing.topics_listed();
+    return this->version && this->sharing.topics_listed();
 }
 
 sharing::shared_topics gateway_store::shared_topics() const
@@ -136,6 +140,10 @@
                                   const std::vector<platform::keyed_record>& records) {
         this->listed(topic, records);
     };
+    made.merge_restored_records = [this](wire::shared_topic topic,
+                                         const std::vector<platform::keyed_record>& records) {
+        return this->restored(topic, records);
+    };
     made.apply_record = [this](wire::shared_topic topic, const platform::keyed_record& record) {
         return this->changed(topic, record);
     };
@@ -193,45 +201,86 @@
     }
 }
 
+std::set<std::string> gateway_store::restored(wire::shared_topic topic,
+                                              const std::vector<platform::keyed_record>& records)
+{
+    return topic == wire::shared_topic::operators ? this->merge_operator_records(records)
+                                                  : this->merge_registrations(records);
+}
+
 bool gateway_store::changed(wire::shared_topic topic, const platform::keyed_record& record)
 {
-    return topic == wire::shared_topic::operators ? this->take_operator_record(record)
-                                                  : this->take_registration(record);
+    if (topic == wire::shared_topic::registrations) {
+        return this->take_registration(record);
+    }
+    this->take_operator_record(record, this->platform.read_operator_record(record));
+    return true;
 }
 
 void gateway_store::take_all_operator_records(const std::vector<platform::keyed_record>& records)
 {
     this->out_of_service.clear();
+    for (const auto& [data_centre, until] : this->unconfirmed) {
+        this->out_of_service.insert(data_centre);
+    }
     for (const auto& each : records) {
-        this->take_operator_record(each);
+        this->take_operator_record(each, this->platform.read_operator_record(each));
     }
     this->hooks.out_of_service(this->out_of_service);
 }
 
-bool gateway_store::take_operator_record(const platform::keyed_record& record)
+// What was accepted stays in force until the operators have written it again.
+std::set<std::string>
+gateway_store::merge_operator_records(const std::vector<platform::keyed_record>& records)
+{
+    std::set<std::string> outdated;
+    std::set<data_centre_id> listed;
+    for (const auto& each : records) {
+        auto read = this->platform.read_operator_record(each);
+        if (read.ok()) {
+            const auto* next = std::get_if<balance::traffic_configuration>(&*read);
+            if (next != nullptr && next->version < this->version) {
+                outdated.insert(each.key);
+            }
+            if (const auto* change = std::get_if<data_centre_service>(&*read)) {
+                listed.insert(change->name);
+            }
+        }
+        this->take_operator_record(each, std::move(read));
+    }
+    for (const auto& each : this->out_of_service) {
+        if (!listed.contains(each)) {
+            this->unconfirmed.insert_or_assign(each, steady_now() + rewrite_grace);
+            this->hooks.log({"data_centre_unconfirmed", {{"data_centre", each.value}}});
+        }
+    }
+    return outdated;
+}
+
+void gateway_store::take_operator_record(const platform::keyed_record& record,
+                                         absl::StatusOr<operator_record> read)
 {
-    auto read = this->platform.read_operator_record(record);
     if (!read.ok()) {
         this->log_unreadable(record, read.status());
-        return true;
+        return;
     }
     if (auto* next = std::get_if<balance::traffic_configuration>(&*read)) {
         this->hooks.log({"configuration_read",
                          {{"version", std::to_string(next->version)},
                           {"offset", std::to_string(record.offset)},
                           {"bytes", std::to_string(record.value->size())}}});
-        this->configured = true;
+        this->version = std::max(this->version.value_or(0), next->version);
         this->hooks.configured(
             std::make_shared<const balance::traffic_configuration>(std::move(*next)));
     }
     else if (const auto* change = std::get_if<data_centre_service>(&*read)) {
         this->set_in_service(*change);
     }
-    return true;
 }
 
 void gateway_store::set_in_service(const data_centre_service& change)
 {
+    this->unconfirmed.erase(change.name);
     if (change.in_service) {
         this->out_of_service.erase(change.name);
     }
@@ -245,6 +294,26 @@
 }
 
 void gateway_store::take_all_registrations(const std::vector<platform::keyed_record>& records)
+{
+    const auto all = this->read_registrations(records);
+    this->take_list([&] { this->registry.apply_full_list(steady_now(), all); });
+}
+
+std::set<std::string>
+gateway_store::merge_registrations(const std::vector<platform::keyed_record>& records)
+{
+    const auto all = this->read_registrations(records);
+    std::set<std::string> outdated;
+    this->take_list([&] {
+        for (const auto& each : this->registry.merge_restored_list(steady_now(), all)) {
+            outdated.insert(each.value);
+        }
+    });
+    return outdated;
+}
+
+std::vector<balance::registration>
+gateway_store::read_registrations(const std::vector<platform::keyed_record>& records)
 {
     std::vector<balance::registration> all;
     for (const auto& each : records) {
@@ -256,8 +325,13 @@
             this->log_unreadable(each, read.status());
         }
     }
+    return all;
+}
+
+void gateway_store::take_list(const std::function<void()>& change)
+{
     this->listing = true;
-    this->registry.apply_full_list(steady_now(), all);
+    change();
     this->listing = false;
     this->hooks.log({"backends_listed", {{"count", std::to_string(this->registry.size())}}});
     this->hooks.backends_listed();
@@ -284,9 +358,20 @@
                       {"why", std::string(why.message())}}});
 }
 
+void gateway_store::end_unconfirmed(time_point now)
+{
+    const auto data_centres = this->unconfirmed;
+    for (const auto& [name, until] : data_centres) {
+        if (until <= now) {
+            this->set_in_service({name, true});
+        }
+    }
+}
+
 void gateway_store::tick()
 {
     this->registry.tick(steady_now());
+    this->end_unconfirmed(steady_now());
     this->timer.expires_after(tick_interval);
     this->timer.async_wait([this](const asio::error_code& error) {
         if (!error) {
--- a/src/azureshore/daemon/internal/gateway_store.hpp
+++ b/src/azureshore/daemon/internal/gateway_store.hpp
@@ -9,7 +9,9 @@
 
 #include <asio/steady_timer.hpp>
 
+#include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace azureshore::daemon::detail {
@@ -55,11 +57,22 @@
     sharing::shared_topics shared_topics() const;
     void received(std::string_view bytes);
     void listed(wire::shared_topic topic, const std::vector<platform::keyed_record>& records);
+    std::set<std::string> restored(wire::shared_topic topic,
+                                   const std::vector<platform::keyed_record>& records);
     bool changed(wire::shared_topic topic, const platform::keyed_record& record);
-    bool take_operator_record(const platform::keyed_record& record);
+    void take_operator_record(const platform::keyed_record& record,
+                              absl::StatusOr<operator_record> read);
     void take_all_operator_records(const std::vector<platform::keyed_record>& records);
+    std::set<std::string>
+    merge_operator_records(const std::vector<platform::keyed_record>& records);
     bool take_registration(const platform::keyed_record& record);
     void take_all_registrations(const std::vector<platform::keyed_record>& records);
+    std::set<std::string> merge_registrations(const std::vector<platform::keyed_record>& records);
+    std::vector<balance::registration>
+    read_registrations(const std::vector<platform::keyed_record>& records);
+    // Runs a change of the registry that takes a whole list.
+    void take_list(const std::function<void()>& change);
+    void end_unconfirmed(time_point now);
     void set_in_service(const data_centre_service& change);
     void log_unreadable(const platform::keyed_record& record, const absl::Status& why);
     void members_changed();
@@ -74,7 +87,11 @@
     balance::backend_registry registry;
     asio::steady_timer timer;
     std::set<data_centre_id> out_of_service;
-    bool configured = false;
+    // Data centres that stay out of service although a restored store lacks their record, and until
+    // when.
+    std::map<data_centre_id, time_point> unconfirmed;
+    // The latest version of the configuration.
+    std::optional<std::uint64_t> version;
     // While a whole list is taken, its entries are logged as one.
     bool listing = false;
     peer_socket socket;
--- a/src/azureshore/sharing/store_sharing.cpp
+++ b/src/azureshore/sharing/store_sharing.cpp
@@ -47,7 +47,8 @@
 void store_sharing::state::apply_list(topic_state& topic, const wire::topic_position& next,
                                       const std::vector<platform::keyed_record>& records)
 {
-    if (topic.listed && next.epoch > topic.next.epoch) {
+    const bool restored = topic.listed && next.epoch > topic.next.epoch;
+    if (restored) {
         this->report_restore(topic, next);
         // This daemon's announcement may be lost, and those of others.
         this->announced = false;
@@ -57,12 +58,25 @@
     topic.next = next;
     topic.history_begin = next.offset;
     topic.recent_reads.clear();
-    topic.newest_records.clear();
     topic.removed_keys.clear();
+    const auto known = std::exchange(topic.newest_records, {});
     for (const auto& each : records) {
         topic.newest_records[each.key] = {{each.offset, each.key, each.value}, each.offset};
     }
-    this->hooks.replace_records(topic.kind, records);
+    if (!restored) {
+        this->hooks.replace_records(topic.kind, records);
+        return;
+    }
+    // Daemons that get a snapshot from this one shall know the newer records too.
+    for (const auto& key : this->hooks.merge_restored_records(topic.kind, records)) {
+        const auto newer = known.find(key);
+        if (newer == known.end()) {
+            topic.newest_records.erase(key);
+        }
+        else {
+            topic.newest_records[key].record.value = newer->second.record.value;
+        }
+    }
 }
 
 void store_sharing::state::report_restore(const topic_state& topic,
--- a/src/azureshore/sharing/store_sharing.hpp
+++ b/src/azureshore/sharing/store_sharing.hpp
@@ -8,6 +8,8 @@
 
 #include <functional>
 #include <memory>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace azureshore::sharing {
@@ -38,6 +40,11 @@
     // Replaces all that is known of a topic by the newest record of every key.
     std::function<void(wire::shared_topic, const std::vector<platform::keyed_record>&)>
         replace_records;
+    // Merges the records of a store that was restored from a backup into what is known of a topic,
+    // which may be newer. Returns the keys whose known record, or removal, is newer.
+    std::function<std::set<std::string>(wire::shared_topic,
+                                        const std::vector<platform::keyed_record>&)>
+        merge_restored_records;
     // Applies one record. Returns whether it changes what this daemon knows.
     std::function<bool(wire::shared_topic, const platform::keyed_record&)> apply_record;
     // Reports that neither this daemon nor any other one that it hears from can read the store.
--- a/tests/balance/backend_registry_tests.cpp
+++ b/tests/balance/backend_registry_tests.cpp
@@ -143,4 +143,46 @@
     BOOST_TEST(fixture.removed.size() == 1U);
 }
 
+// Guards against requests to a backend server that leaves, or has left, because a restored store
+// still lists it as before.
+BOOST_AUTO_TEST_CASE(a_restored_list_does_not_undo_what_is_known)
+{
+    for (const std::int64_t started_at : {0, 1000}) {
+        BOOST_TEST_CONTEXT("started at " << started_at)
+        {
+            registry_fixture fixture;
+            auto draining = plate_registration(5, started_at);
+            draining.draining = true;
+            fixture.registry.apply_registration(draining);
+            const auto older = plate_registration(4, started_at);
+            BOOST_TEST(fixture.registry.merge_restored_list(fixture.now, {older}).size() == 1U);
+            BOOST_TEST(fixture.changed.back().draining);
+            fixture.registry.apply_removal(fixture.now + 3s, older.id);
+            BOOST_TEST(fixture.registry.merge_restored_list(fixture.now + 4s, {older}).size() ==
+                       1U);
+            BOOST_TEST(fixture.registry.size() == 0U);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_server_missing_from_a_restored_list_is_kept_until_it_had_time_to_write_again)
+{
+    registry_fixture fixture;
+    fixture.registry.apply_registration(plate_registration(1));
+    BOOST_TEST(fixture.registry.merge_restored_list(fixture.now, {}).empty());
+    fixture.registry.tick(fixture.now + 2s);
+    BOOST_TEST(fixture.registry.size() == 1U);
+    fixture.registry.tick(fixture.now + 3s);
+    BOOST_TEST(fixture.registry.size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_run_in_a_restored_list_is_taken_over)
+{
+    registry_fixture fixture;
+    fixture.registry.apply_registration(plate_registration(9));
+    BOOST_TEST(
+        fixture.registry.merge_restored_list(fixture.now, {plate_registration(1, 2000)}).empty());
+    BOOST_TEST(fixture.changed.back().started_at == 2000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/restored_store/restored_store_tests.cpp
+++ b/tests/restored_store/restored_store_tests.cpp
@@ -131,6 +131,24 @@
     BOOST_TEST(cluster.store.calls - calls_before <= 2U * (2 * 5 + 4));
 }
 
+// Guards against an older configuration on daemons that start before the operators have written
+// theirs again.
+BOOST_AUTO_TEST_CASE(a_daemon_that_starts_after_a_restore_gets_what_the_others_know_from_before)
+{
+    constexpr std::size_t daemons = 13;
+    constexpr std::size_t started = 7;
+    restored_cluster cluster(daemons, 6);
+    cluster.store.take_backup();
+    cluster.store.put(sharing_cluster::operators, "config", "2");
+    cluster.clock.run_for(apply_bound);
+    cluster.store.restore_backup();
+    cluster.clock.run_for(apply_bound);
+    cluster.kill(started);
+    cluster.start(started);
+    cluster.clock.run_for(1s);
+    cluster.check_known(shared_topic::operators, "config", "2");
+}
+
 // Guards against a daemon that finds no other one, because the restore lost their announcements and
 // the seeds are away.
 BOOST_AUTO_TEST_CASE(a_daemon_that_starts_after_a_restore_finds_the_others_without_seeds)
--- a/tests/support/sharing_cluster.cpp
+++ b/tests/support/sharing_cluster.cpp
@@ -310,6 +310,22 @@
             values[each.key] = each.value.value_or("");
         }
     };
+    // The values of the configuration are its versions, which never fall back.
+    hooks.merge_restored_records = [owner](wire::shared_topic topic,
+                                           const std::vector<platform::keyed_record>& records) {
+        auto& values = owner.lock()->known_values[static_cast<std::size_t>(topic)];
+        const auto version = values["config"];
+        values.clear();
+        std::set<std::string> outdated;
+        for (const auto& each : records) {
+            values[each.key] = each.value.value_or("");
+        }
+        if (topic == wire::shared_topic::operators && version > values["config"]) {
+            values["config"] = version;
+            outdated.insert("config");
+        }
+        return outdated;
+    };
     hooks.apply_record = [owner](wire::shared_topic topic, const platform::keyed_record& record) {
         auto& values = owner.lock()->known_values[static_cast<std::size_t>(topic)];
         const auto value = record.value.value_or("");
