Look for missed operators' records also when registrations are missing

A gateway that had missed a message of registrations learned of a configuration a round of news late: it handled the news as a gap in the registrations and did not look at how far their sender had read the operators' topic. The registrations that it then got or read made it count as current, so that it asked nobody for the rest.

Change: news with a gap are compared with the operators' topic first.

Measured: the new test knows the configuration only after a takeover on the code before, and within a quarter of the bound now.

--- a/src/azureshore/sharing/internal/messages.cpp
+++ b/src/azureshore/sharing/internal/messages.cpp
@@ -300,6 +300,10 @@
         this->count_missed_reports();
         this->report_to_parent();
     }
+    auto& operators = this->topic_for(wire::shared_topic::operators);
+    if (&topic != &operators && news.operators_next > operators.next) {
+        this->fetch_missed_records(operators);
+    }
     if (news.next.epoch > topic.next.epoch || news.from > topic.next.offset) {
         // The store was restored, or an earlier news message was lost.
         this->fetch_missed_records(topic);
@@ -321,11 +325,8 @@
     topic.current_as_of = now;
     topic.last_call_failed = false;
     topic.missed_records = false;
-    auto& operators = this->topic_for(wire::shared_topic::operators);
-    if (news.operators_next > operators.next) {
-        this->fetch_missed_records(operators);
-    }
-    else if (news.operators_next.epoch == operators.next.epoch) {
+    if (news.operators_next <= operators.next &&
+        news.operators_next.epoch == operators.next.epoch) {
         operators.current_as_of = now;
         operators.last_call_failed = false;
     }
--- a/tests/sharing/store_sharing_tests.cpp
+++ b/tests/sharing/store_sharing_tests.cpp
@@ -285,6 +285,30 @@
     }
 }
 
+// Guards against a configuration that comes a round of news late, because the daemon has missed
+// registrations too.
+BOOST_AUTO_TEST_CASE(a_gap_in_the_registrations_does_not_hide_a_gap_in_the_operators_topic)
+{
+    auto cluster = settled_cluster(2, 20);
+    const auto reader = first_ranked_daemon(*cluster, 2);
+    const auto other = 1 - reader;
+    cluster->kill(reader);
+    cluster->store.put(sharing_cluster::operators, "config", "2");
+    cluster->store.put(sharing_cluster::registrations, "plate-1", "ready");
+    cluster->store.put(sharing_cluster::registrations, "plate-2", "ready");
+    wire::topic_news news;
+    news.reader = cluster->name_of(reader);
+    news.from = 1;
+    news.next = {0, 2};
+    news.records = {{1, "plate-2", "ready"}};
+    news.operators_next = {0, 2};
+    news.broadcast_id = 1;
+    cluster->sharing_of(other).receive({news.reader, news});
+    // Well before the daemon takes over from the reader.
+    cluster->clock.run_for(apply_bound / 4);
+    BOOST_TEST(cluster->known_value(other, shared_topic::operators, "config") == "2");
+}
+
 BOOST_AUTO_TEST_CASE(every_daemon_learns_the_total_request_rate)
 {
     auto cluster = settled_cluster(daemon_count, 18);
