--- a/tests/restored_store/restored_store_tests.cpp
+++ b/tests/restored_store/restored_store_tests.cpp
@@ -131,6 +131,50 @@
     BOOST_TEST(cluster.store.calls - calls_before <= 2U * (2 * 5 + 4));
 }
 
+// Guards against an older configuration on daemons that start before the operators have written
+// theirs again.
+BOOST_AUTO_TEST_CASE(a_daemon_that_starts_after_a_restore_gets_what_the_others_know_from_before)
+{
+    constexpr std::size_t daemons = 13;
+    constexpr std::size_t started = 7;
+    restored_cluster cluster(daemons, 6);
+    cluster.store.take_backup();
+    cluster.store.put(sharing_cluster::operators, "config", "2");
+    cluster.clock.run_for(apply_bound);
+    cluster.store.restore_backup();
+    cluster.clock.run_for(apply_bound);
+    cluster.kill(started);
+    cluster.start(started);
+    cluster.clock.run_for(1s);
+    cluster.check_known(shared_topic::operators, "config", "2");
+}
+
+// Guards against a daemon that finds no other one, because the restore lost their announcements and
+// the seeds are away.
+BOOST_AUTO_TEST_CASE(a_daemon_that_starts_after_a_restore_finds_the_others_without_seeds)
+{
+    constexpr std::size_t daemons = 13;
+    sharing_cluster cluster(daemons, 5);
+    cluster.first_start = false;
+    cluster.store.put(sharing_cluster::operators, "config", "1");
+    cluster.store.take_backup();
+    for (std::size_t i = 0; i < daemons; ++i) {
+        cluster.start(i);
+    }
+    cluster.clock.run_for(6s);
+    cluster.store.restore_backup();
+    cluster.clock.run_for(3s);
+    constexpr std::size_t seeds = 3;
+    for (std::size_t i = 0; i < seeds; ++i) {
+        cluster.kill(i);
+    }
+    cluster.kill(seeds);
+    cluster.clock.run_for(1s);
+    cluster.start(seeds);
+    cluster.clock.run_for(2s);
+    BOOST_TEST(cluster.members_of(seeds).others().size() >= daemons - seeds - 1);
+}
+
 // Random schedules of changes, restores, lost messages, kills, and daemons that the store does not
 // answer. Each daemon that ran throughout a step and was answered must know the change in time.
 BOOST_AUTO_TEST_CASE(every_change_is_known_within_the_bound_over_random_restores)
