Read on after a topic was listed again

When the first daemons that reach a restored store are no standby readers, as while some VMs are turned away, a configuration written soon after the return reached the others up to a second late: a daemon that had listed the operators' topic left the registrations to its next check, and one that had listed both waited for its next read before it sent news and had no long poll of the operators' topic in flight.

Change: after a topic was listed again a daemon goes on as after a read: registrations follow the operators' topic, and a reader starts its long poll. First lists at a start are as before.

--- a/src/azureshore/sharing/internal/reading.cpp
+++ b/src/azureshore/sharing/internal/reading.cpp
@@ -45,15 +45,15 @@
 void store_sharing::state::list_topic(topic_state& topic)
 {
     topic.call_in_flight = true;
-    topic.store.list([weak = this->weak_from_this(), kind = topic.kind,
-                      began = this->now()](const platform::keyed_list& result) {
+    topic.store.list([weak = this->weak_from_this(), kind = topic.kind, began = this->now(),
+                      again = topic.listed](const platform::keyed_list& result) {
         if (const auto self = weak.lock()) {
-            self->handle_list_result(self->topic_for(kind), began, result);
+            self->handle_list_result(self->topic_for(kind), began, again, result);
         }
     });
 }
 
-void store_sharing::state::handle_list_result(topic_state& topic, time_point began,
+void store_sharing::state::handle_list_result(topic_state& topic, time_point began, bool again,
                                               const platform::keyed_list& result)
 {
     topic.call_in_flight = false;
@@ -65,12 +65,15 @@
     }
     // Other daemons may have told more while the store was listing.
     if (!topic.listed || next > topic.next) {
-        topic.snapshot_unsent = topic.listed;
+        topic.snapshot_unsent = again;
         this->apply_list(topic, next, result.records);
     }
     this->handle_store_success(topic, began);
     this->broadcast_unsent_snapshots();
     this->serve_waiting_daemons();
+    if (again) {
+        this->continue_reading(topic, began);
+    }
     this->check_staleness();
 }
 
@@ -143,6 +146,12 @@
             this->send_news(topic);
         }
     }
+    this->continue_reading(topic, began);
+}
+
+// Goes on to the registrations after the operators' topic, as their news say how far both are read.
+void store_sharing::state::continue_reading(topic_state& topic, time_point began)
+{
     if (std::exchange(topic.read_again, false)) {
         this->read_topic(topic, std::chrono::milliseconds(0));
         return;
--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -85,11 +85,13 @@
     void list_topic(topic_state& topic);
     void list_unlisted_topics();
     void read_topic(topic_state& topic, std::chrono::milliseconds max_wait);
-    void handle_list_result(topic_state& topic, time_point began,
+    // `again` says that the topic was known when the list was asked for.
+    void handle_list_result(topic_state& topic, time_point began, bool again,
                             const platform::keyed_list& result);
     void handle_list_failure(topic_state& topic);
     void handle_read_result(topic_state& topic, time_point began, const wire::topic_position& from,
                             const platform::keyed_read& result);
+    void continue_reading(topic_state& topic, time_point began);
     void handle_store_failure(topic_state& topic);
     void handle_store_success(topic_state& topic, time_point began);
     void apply_read(topic_state& topic, const platform::keyed_read& result);
--- a/tests/restored_store/restored_store_tests.cpp
+++ b/tests/restored_store/restored_store_tests.cpp
@@ -131,6 +131,39 @@
     BOOST_TEST(cluster.store.calls - calls_before <= 2U * (2 * 5 + 4));
 }
 
+// Guards against knowledge that spreads slowly because the first daemons that list the restored
+// topics do not pass them on.
+BOOST_DATA_TEST_CASE(a_change_soon_after_a_restore_is_known_in_time_while_some_are_refused,
+                     fleet_sizes, daemons)
+{
+    constexpr double refused_share = 0.35;
+    for (std::uint64_t seed = 0; seed < 10; ++seed) {
+        restored_cluster cluster(daemons, seed);
+        auto random = seeded_random(seed);
+        cluster.store.take_backup();
+        cluster.store.put(sharing_cluster::operators, "config", "2");
+        cluster.clock.run_for(apply_bound);
+        std::set<std::string> refused;
+        for (std::size_t i = 0; i + 1 < daemons; ++i) {
+            if (uniform(random) < refused_share) {
+                refused.insert(cluster.name_of(i).value);
+            }
+        }
+        cluster.store.unanswered_callers = refused;
+        cluster.clock.run_for(500ms);
+        cluster.store.unanswered_callers.insert("*");
+        cluster.clock.run_for(1s);
+        cluster.store.restore_backup();
+        cluster.store.unanswered_callers = refused;
+        cluster.clock.run_for(100ms);
+        cluster.store.write_lost_records_again();
+        cluster.store.put(sharing_cluster::operators, "config", "3");
+        cluster.clock.run_for(apply_bound);
+        BOOST_TEST_CONTEXT("seed " << seed)
+        cluster.check_known(shared_topic::operators, "config", "3");
+    }
+}
+
 // Guards against an older configuration on daemons that start before the operators have written
 // theirs again.
 BOOST_AUTO_TEST_CASE(a_daemon_that_starts_after_a_restore_gets_what_the_others_know_from_before)
