--- a/src/azureshore/sharing/internal/messages.cpp
+++ b/src/azureshore/sharing/internal/messages.cpp
@@ -59,6 +59,7 @@
     auto parts = split_news(std::move(all));
     const auto id = this->hooks.random();
     std::vector<wire::topic_snapshot> snapshot;
+    snapshot.reserve(parts.size());
     for (auto& part : parts) {
         snapshot.push_back({topic.kind, topic.next, this->now() - topic.current_as_of,
                             static_cast<std::uint32_t>(snapshot.size()),
