--- a/src/azureshore/wire/message.hpp
+++ b/src/azureshore/wire/message.hpp
@@ -35,7 +35,7 @@
 };
 
 // Version of the encoding; a message of another version is refused as malformed.
-constexpr std::uint8_t protocol_version = 2;
+constexpr std::uint8_t protocol_version = 3;
 
 // Largest encoded message in bytes; a larger one is neither sent nor read.
 constexpr std::size_t max_message_bytes = 1024UL * 1024UL;
