Divide answers to pulls by the offset at which records changed

A gateway that was cut off for a while could take a backend server that drains for a ready one from then on, and send it requests: a change that its server had renewed since is missing from every further answer.

Cause: an answer holds the records that changed since the asked offset, but is sorted and divided by the offset of their latest renewal. When a later part is lost, the receiver asks again from the end of the first part, which may lie after the change and before the renewal; the sender then leaves the record out, and the receiver counts as current.

Change: records go out with the offset at which they changed.

Measured: the new test, which loses the second part of an answer, takes the server for ready on the code before and for draining now. The cluster of the tests no longer delivers to addresses that no daemon has.

--- a/src/azureshore/sharing/internal/messages.cpp
+++ b/src/azureshore/sharing/internal/messages.cpp
@@ -115,7 +115,11 @@
     changes.next = topic.next;
     for (const auto& [key, newest] : topic.newest_records) {
         if (newest.changed_offset >= from.offset) {
-            changes.records.push_back(newest.record);
+            // Parts are divided by offset: after the loss of one, the receiver asks from its first
+            // offset on, and a record at a later renewal's offset would be left out.
+            auto record = newest.record;
+            record.offset = newest.changed_offset;
+            changes.records.push_back(std::move(record));
         }
     }
     for (auto removed = topic.removed_keys.lower_bound(from.offset);
--- a/tests/sharing/store_sharing_tests.cpp
+++ b/tests/sharing/store_sharing_tests.cpp
@@ -261,6 +261,37 @@
     BOOST_TEST(cluster->store.calls - calls_before <= 8U);
 }
 
+// Guards against a change that is lost for good when a later part of an answer is lost.
+BOOST_AUTO_TEST_CASE(a_change_that_was_renewed_since_is_sent_again_after_a_part_was_lost)
+{
+    sharing_cluster cluster(2, 9);
+    cluster.store.put(sharing_cluster::operators, "config", "1");
+    cluster.store.put(sharing_cluster::registrations, "plate-1", "ready");
+    cluster.start(0);
+    cluster.start(1);
+    cluster.clock.run_for(6s);
+    const auto other = 1 - first_ranked_daemon(cluster, 2);
+    cluster.disconnected.insert(other);
+    cluster.store.unanswered_callers.insert(cluster.name_of(other).value);
+    cluster.store.put(sharing_cluster::registrations, "plate-1", "draining");
+    cluster.clock.run_for(1500ms);
+    const std::string large(20'000, 'x');
+    cluster.store.put(sharing_cluster::registrations, "plate-2", large);
+    cluster.store.put(sharing_cluster::registrations, "plate-3", large);
+    cluster.store.put(sharing_cluster::registrations, "plate-1", "draining");
+    cluster.clock.run_for(1500ms);
+    std::size_t parts = 0;
+    cluster.is_lost = [&parts](const wire::message& body) {
+        return std::holds_alternative<wire::topic_update>(body) &&
+               std::get<wire::topic_update>(body).topic == shared_topic::registrations &&
+               ++parts == 2;
+    };
+    cluster.disconnected.clear();
+    cluster.clock.run_for(8s);
+    BOOST_TEST(parts >= 2U);
+    BOOST_TEST(cluster.known_value(other, shared_topic::registrations, "plate-1") == "draining");
+}
+
 // Guards against records that get lost between parts of two snapshots with the same end.
 BOOST_AUTO_TEST_CASE(parts_of_snapshots_of_two_daemons_are_not_put_together)
 {
--- a/tests/support/sharing_cluster.cpp
+++ b/tests/support/sharing_cluster.cpp
@@ -251,7 +251,8 @@
     ++this->messages_sent_by[sender];
     this->messages_between_data_centres +=
         data_centre_of(sender) == data_centre_of(receiver) ? 0 : 1;
-    if (uniform(this->random) < this->message_loss_fraction ||
+    if (receiver >= this->processes.size() || (this->is_lost && this->is_lost(body)) ||
+        uniform(this->random) < this->message_loss_fraction ||
         this->disconnected.contains(sender) || this->disconnected.contains(receiver)) {
         return;
     }
--- a/tests/support/sharing_cluster.hpp
+++ b/tests/support/sharing_cluster.hpp
@@ -4,6 +4,7 @@
 #include "azureshore/sharing/store_sharing.hpp"
 #include "support/virtual_clock.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -112,6 +113,8 @@
     std::uint64_t messages_sent = 0;
     std::uint64_t messages_between_data_centres = 0;
     std::vector<std::uint64_t> messages_sent_by;
+    // Messages for which this returns true are lost. May be empty.
+    std::function<bool(const wire::message&)> is_lost;
     // How often each daemon was told of a suspected crash.
     std::vector<std::size_t> crash_suspicions;
     // How often a daemon reported the store as unavailable.
