Repeat a long poll that failed without a wait before the store counts as lost

After the reader's link to the store was gone for a moment, gateways could serve with an older configuration, 404 for a new route included, for some tenths of a second beyond the bound, and they took the store for lost.

Cause: the reader's read of the operators' topic waits for up to half of the bound and fails after the timeout of a call more. Until then the reader reads registrations, and its news make everyone count the operators' topic as current. The failure itself was taken for an outage, and the topic was read again only in the next cycle.

Measured: the new test loses one waiting read at 20 moments and changes the configuration at 16 moments after each.

--- a/src/azureshore/sharing/internal/reading.cpp
+++ b/src/azureshore/sharing/internal/reading.cpp
@@ -27,6 +27,8 @@
 // The reader's long poll of the operators' topic ends after this fraction of apply_within. The
 // store does not always wake a waiting read, and a connection may have gone silent.
 constexpr double operators_poll_fraction = 0.5;
+// Delay before a long poll that failed is repeated without a wait.
+constexpr duration lost_wait_retry_delay = std::chrono::milliseconds(50);
 // Each news message holds the records of this many most recent reads, so that the loss of one
 // message does no harm.
 constexpr std::size_t reads_per_news = 2;
@@ -102,31 +104,39 @@
         return;
     }
     topic.call_in_flight = true;
-    topic.store.read(topic.next.offset, max_wait,
-                     [weak = this->weak_from_this(), kind = topic.kind, began = this->now(),
-                      from = topic.next](const platform::keyed_read& result) {
-                         if (const auto self = weak.lock()) {
-                             self->handle_read_result(self->topic_for(kind), began, from, result);
-                         }
-                     });
+    topic.store.read(
+        topic.next.offset, max_wait,
+        [weak = this->weak_from_this(), kind = topic.kind,
+         call = read_call{this->now(), topic.next, max_wait}](const platform::keyed_read& result) {
+            if (const auto self = weak.lock()) {
+                self->handle_read_result(self->topic_for(kind), call, result);
+            }
+        });
 }
 
-void store_sharing::state::handle_read_result(topic_state& topic, time_point began,
-                                              const wire::topic_position& from,
+void store_sharing::state::handle_read_result(topic_state& topic, const read_call& call,
                                               const platform::keyed_read& result)
 {
     topic.call_in_flight = false;
     // An answer of an earlier epoch was given before the store was restored.
     if (result.outcome == platform::read_outcome::unavailable || result.epoch < topic.next.epoch) {
-        this->handle_store_failure(topic);
+        // A read that waited may have lost its connection long ago.
+        if (call.max_wait > std::chrono::milliseconds(0)) {
+            this->run_after(lost_wait_retry_delay, [kind = topic.kind](state& self) {
+                self.read_topic(self.topic_for(kind), std::chrono::milliseconds(0));
+            });
+        }
+        else {
+            this->handle_store_failure(topic);
+        }
         return;
     }
-    if (result.outcome == platform::read_outcome::expired || result.epoch != from.epoch) {
+    if (result.outcome == platform::read_outcome::expired || result.epoch != call.from.epoch) {
         this->list_topic(topic);
         return;
     }
     this->apply_read(topic, result);
-    this->handle_store_success(topic, began);
+    this->handle_store_success(topic, call.began);
     this->broadcast_unsent_snapshots();
     const bool has_news = topic.kind == wire::shared_topic::registrations ||
                           !topic.recent_reads.back().records.empty();
@@ -146,7 +156,7 @@
             this->send_news(topic);
         }
     }
-    this->continue_reading(topic, began);
+    this->continue_reading(topic, call.began);
 }
 
 // Goes on to the registrations after the operators' topic, as their news say how far both are read.
--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -71,6 +71,12 @@
     [[nodiscard]] const topic_state& topic_for(wire::shared_topic kind) const;
 
 private:
+    // A read of the store that is in flight.
+    struct read_call {
+        time_point began;
+        wire::topic_position from;
+        std::chrono::milliseconds max_wait;
+    };
     struct child_report {
         std::size_t missed_rounds = 0;
         double request_rate = 0;
@@ -89,7 +95,7 @@
     void handle_list_result(topic_state& topic, time_point began, bool again,
                             const platform::keyed_list& result);
     void handle_list_failure(topic_state& topic);
-    void handle_read_result(topic_state& topic, time_point began, const wire::topic_position& from,
+    void handle_read_result(topic_state& topic, const read_call& call,
                             const platform::keyed_read& result);
     void continue_reading(topic_state& topic, time_point began);
     void handle_store_failure(topic_state& topic);
--- a/tests/sharing/store_sharing_tests.cpp
+++ b/tests/sharing/store_sharing_tests.cpp
@@ -209,6 +209,29 @@
     }
 }
 
+// Guards against an older configuration, and a store that is taken for lost, after one waiting read
+// got no answer.
+BOOST_AUTO_TEST_CASE(daemons_keep_the_bound_when_a_waiting_read_is_lost)
+{
+    for (auto lost_at = 0ms; lost_at < 1000ms; lost_at += 50ms) {
+        for (auto changed_after = 0ms; changed_after < 1600ms; changed_after += 100ms) {
+            auto cluster = settled_cluster(daemon_count, 21);
+            cluster->clock.run_for(lost_at);
+            cluster->store.lose_waiting_reads();
+            cluster->clock.run_for(changed_after);
+            cluster->store.put(sharing_cluster::operators, "config", "2");
+            cluster->clock.run_for(apply_bound);
+            BOOST_TEST_CONTEXT("lost at " << lost_at.count() << " ms, changed "
+                                          << changed_after.count() << " ms later")
+            {
+                BOOST_TEST(all_daemons_know(*cluster, daemon_count, shared_topic::operators,
+                                            "config", "2"));
+                BOOST_TEST(cluster->unavailable_reports == 0U);
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(all_daemons_know_each_other_soon_after_a_simultaneous_start)
 {
     auto cluster = settled_cluster(daemon_count, 10);
--- a/tests/support/sharing_cluster.cpp
+++ b/tests/support/sharing_cluster.cpp
@@ -53,7 +53,7 @@
     }
     const auto waiting_reads = this->waiting;
     for (const auto& each : waiting_reads) {
-        if (this->wakes_waiting_reads && !each->finished && each->topic == name) {
+        if (this->wakes_waiting_reads && !each->finished && !each->lost && each->topic == name) {
             this->clock.after(call_latency, [this, each] { this->finish(each, true); });
         }
     }
@@ -105,6 +105,13 @@
     }
 }
 
+void fake_store::lose_waiting_reads()
+{
+    for (const auto& each : this->waiting) {
+        each->lost = true;
+    }
+}
+
 bool fake_store::is_answered(const vm_id& caller) const
 {
     return !this->unanswered_callers.contains("*") &&
@@ -151,7 +158,12 @@
             return;
         }
         this->waiting.push_back(read);
-        this->clock.after(wait + call_latency, [this, read] { this->finish(read, true); });
+        this->clock.after(wait + call_latency, [this, read] {
+            if (!read->lost) {
+                this->finish(read, true);
+            }
+        });
+        this->clock.after(wait + call_timeout, [this, read] { this->finish(read, false); });
     };
     return topic_calls;
 }
--- a/tests/support/sharing_cluster.hpp
+++ b/tests/support/sharing_cluster.hpp
@@ -42,6 +42,9 @@
     // record of each key, in the order of their keys.
     void write_lost_records_again();
 
+    // The reads that wait now get no answer, as when a link is lost for a moment.
+    void lose_waiting_reads();
+
     // Names of daemons whose calls get no answer. "*" stands for all daemons.
     std::set<std::string> unanswered_callers;
     std::uint64_t calls = 0;
@@ -59,6 +62,7 @@
         std::string topic;
         std::uint64_t first_offset = 0;
         bool finished = false;
+        bool lost = false;
         std::function<void(platform::keyed_read)> done;
     };
 
