--- a/tests/sharing/store_sharing_tests.cpp
+++ b/tests/sharing/store_sharing_tests.cpp
@@ -209,6 +209,29 @@
     }
 }
 
+// Guards against an older configuration, and a store that is taken for lost, after one waiting read
+// got no answer.
+BOOST_AUTO_TEST_CASE(daemons_keep_the_bound_when_a_waiting_read_is_lost)
+{
+    for (auto lost_at = 0ms; lost_at < 1000ms; lost_at += 50ms) {
+        for (auto changed_after = 0ms; changed_after < 1600ms; changed_after += 100ms) {
+            auto cluster = settled_cluster(daemon_count, 21);
+            cluster->clock.run_for(lost_at);
+            cluster->store.lose_waiting_reads();
+            cluster->clock.run_for(changed_after);
+            cluster->store.put(sharing_cluster::operators, "config", "2");
+            cluster->clock.run_for(apply_bound);
+            BOOST_TEST_CONTEXT("lost at " << lost_at.count() << " ms, changed "
+                                          << changed_after.count() << " ms later")
+            {
+                BOOST_TEST(all_daemons_know(*cluster, daemon_count, shared_topic::operators,
+                                            "config", "2"));
+                BOOST_TEST(cluster->unavailable_reports == 0U);
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(all_daemons_know_each_other_soon_after_a_simultaneous_start)
 {
     auto cluster = settled_cluster(daemon_count, 10);
@@ -261,6 +284,37 @@
     BOOST_TEST(cluster->store.calls - calls_before <= 8U);
 }
 
+// Guards against a change that is lost for good when a later part of an answer is lost.
+BOOST_AUTO_TEST_CASE(a_change_that_was_renewed_since_is_sent_again_after_a_part_was_lost)
+{
+    sharing_cluster cluster(2, 9);
+    cluster.store.put(sharing_cluster::operators, "config", "1");
+    cluster.store.put(sharing_cluster::registrations, "plate-1", "ready");
+    cluster.start(0);
+    cluster.start(1);
+    cluster.clock.run_for(6s);
+    const auto other = 1 - first_ranked_daemon(cluster, 2);
+    cluster.disconnected.insert(other);
+    cluster.store.unanswered_callers.insert(cluster.name_of(other).value);
+    cluster.store.put(sharing_cluster::registrations, "plate-1", "draining");
+    cluster.clock.run_for(1500ms);
+    const std::string large(20'000, 'x');
+    cluster.store.put(sharing_cluster::registrations, "plate-2", large);
+    cluster.store.put(sharing_cluster::registrations, "plate-3", large);
+    cluster.store.put(sharing_cluster::registrations, "plate-1", "draining");
+    cluster.clock.run_for(1500ms);
+    std::size_t parts = 0;
+    cluster.is_lost = [&parts](const wire::message& body) {
+        return std::holds_alternative<wire::topic_update>(body) &&
+               std::get<wire::topic_update>(body).topic == shared_topic::registrations &&
+               ++parts == 2;
+    };
+    cluster.disconnected.clear();
+    cluster.clock.run_for(8s);
+    BOOST_TEST(parts >= 2U);
+    BOOST_TEST(cluster.known_value(other, shared_topic::registrations, "plate-1") == "draining");
+}
+
 // Guards against records that get lost between parts of two snapshots with the same end.
 BOOST_AUTO_TEST_CASE(parts_of_snapshots_of_two_daemons_are_not_put_together)
 {
--- a/tests/support/sharing_cluster.hpp
+++ b/tests/support/sharing_cluster.hpp
@@ -4,6 +4,7 @@
 #include "azureshore/sharing/store_sharing.hpp"
 #include "support/virtual_clock.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -41,6 +42,9 @@
     // record of each key, in the order of their keys.
     void write_lost_records_again();
 
+    // The reads that wait now get no answer, as when a link is lost for a moment.
+    void lose_waiting_reads();
+
     // Names of daemons whose calls get no answer. "*" stands for all daemons.
     std::set<std::string> unanswered_callers;
     std::uint64_t calls = 0;
@@ -58,6 +62,7 @@
         std::string topic;
         std::uint64_t first_offset = 0;
         bool finished = false;
+        bool lost = false;
         std::function<void(platform::keyed_read)> done;
     };
 
@@ -112,6 +117,8 @@
     std::uint64_t messages_sent = 0;
     std::uint64_t messages_between_data_centres = 0;
     std::vector<std::uint64_t> messages_sent_by;
+    // Messages for which this returns true are lost. May be empty.
+    std::function<bool(const wire::message&)> is_lost;
     // How often each daemon was told of a suspected crash.
     std::vector<std::size_t> crash_suspicions;
     // How often a daemon reported the store as unavailable.
