Test daemons that start at several moments after a restore

A seed lists the topics at its start and another daemon asks the seeds; both get what the others know from before, 20 ms, 300 ms and 2 s after the restore.

--- a/tests/restored_store/restored_store_tests.cpp
+++ b/tests/restored_store/restored_store_tests.cpp
@@ -169,17 +169,23 @@
 BOOST_AUTO_TEST_CASE(a_daemon_that_starts_after_a_restore_gets_what_the_others_know_from_before)
 {
     constexpr std::size_t daemons = 13;
-    constexpr std::size_t started = 7;
-    restored_cluster cluster(daemons, 6);
-    cluster.store.take_backup();
-    cluster.store.put(sharing_cluster::operators, "config", "2");
-    cluster.clock.run_for(apply_bound);
-    cluster.store.restore_backup();
-    cluster.clock.run_for(apply_bound);
-    cluster.kill(started);
-    cluster.start(started);
-    cluster.clock.run_for(1s);
-    cluster.check_known(shared_topic::operators, "config", "2");
+    constexpr std::size_t seed_daemon = 0;
+    constexpr std::size_t other_daemon = 7;
+    for (const auto started : {seed_daemon, other_daemon}) {
+        for (const auto started_after : {20ms, 300ms, 2000ms}) {
+            restored_cluster cluster(daemons, 6);
+            cluster.store.take_backup();
+            cluster.store.put(sharing_cluster::operators, "config", "2");
+            cluster.clock.run_for(apply_bound);
+            cluster.kill(started);
+            cluster.store.restore_backup();
+            cluster.clock.run_for(started_after);
+            cluster.start(started);
+            cluster.clock.run_for(1s);
+            BOOST_TEST_CONTEXT("started " << started_after.count() << " ms after the restore")
+            cluster.check_known(shared_topic::operators, "config", "2");
+        }
+    }
 }
 
 // Guards against a daemon that finds no other one, because the restore lost their announcements and
