Test the epochs of the adapter's lists and reads

The adapter's epochs were tested in virtual time alone, against a fake that sets them itself.

Change: against the stand-in over sockets: lists and reads carry the epoch, a read from behind the end is expired and one that waits over a restore is unavailable, pages of two epochs are no list, and answers without the header are of epoch 0.

--- a/tests/users_platform/store_calls_tests.cpp
+++ b/tests/users_platform/store_calls_tests.cpp
@@ -23,10 +23,15 @@
                 [this](duration span, std::function<void()> work) {
                     this->timers.after(span, std::move(work));
                 }),
-          server({{"127.0.0.1", 0}, 1}, {[this](const net::http_call& call, net::responder answer) {
-                                             this->store.handle(call, std::move(answer));
-                                         },
-                                         nullptr, nullptr}),
+          server({{"127.0.0.1", 0}, 1},
+                 {[this](const net::http_call& call, const net::responder& respond) {
+                      this->before_call(call);
+                      this->store.handle(call, [this, respond](net::http_answer answer) {
+                          this->before_answer(answer);
+                          respond(std::move(answer));
+                      });
+                  },
+                  nullptr, nullptr}),
           where{"127.0.0.1", server.port()}, http(executor)
     {
     }
@@ -65,6 +70,11 @@
 
     standin::delays timers;
     standin::keyed_store store;
+    // What happens between the adapter and the store; set between two calls.
+    std::function<void(const net::http_call&)> before_call = [](const net::http_call&) {
+    };
+    std::function<void(net::http_answer&)> before_answer = [](net::http_answer&) {
+    };
 
 private:
     template <typename Value>
@@ -195,4 +205,89 @@
     BOOST_TEST(of.list(of.topic("keyed.op")).records.empty());
 }
 
+// Offsets of two epochs that count as one make daemons drop records that they lack.
+BOOST_AUTO_TEST_CASE(lists_and_reads_carry_the_epoch_of_the_store)
+{
+    running_store of;
+    const auto topic = of.topic(mine);
+    of.store.put(mine, "a", "1");
+    of.store.take_backup();
+    BOOST_TEST(of.list(topic).epoch == 1U);
+    BOOST_TEST(of.read(topic, 0).epoch == 1U);
+    of.store.restore_backup();
+    BOOST_TEST(of.list(topic).epoch == 2U);
+    BOOST_TEST(of.read(topic, 0).epoch == 2U);
+    BOOST_TEST(of.read(topic, 1, 20ms).epoch == 2U);
+}
+
+// A daemon that reads on behind the end would wait until the store has given the offset out again.
+BOOST_AUTO_TEST_CASE(a_read_from_behind_the_end_is_expired_and_carries_the_new_epoch)
+{
+    running_store of;
+    of.store.take_backup();
+    of.store.put(mine, "a", "1");
+    of.store.put(mine, "a", "2");
+    of.store.restore_backup();
+    for (const auto wait : {0ms, 30'000ms}) {
+        const auto read = of.read(of.topic(mine), 2, wait);
+        BOOST_TEST((read.outcome == platform::read_outcome::expired));
+        BOOST_TEST(read.epoch == 2U);
+    }
+}
+
+// A read that was begun before the restore must not be given what was written after it.
+BOOST_AUTO_TEST_CASE(a_read_that_waits_over_a_restore_gets_no_records_of_the_next_epoch)
+{
+    running_store of;
+    of.store.put(mine, "a", "1");
+    of.store.take_backup();
+    of.timers.after(20ms, [&of] {
+        of.store.restore_backup();
+        of.store.put(mine, "b", "2");
+    });
+    const auto read = of.read(of.topic(mine), 1, 30'000ms);
+    BOOST_TEST((read.outcome == platform::read_outcome::unavailable));
+    BOOST_TEST(read.records.empty());
+}
+
+// Half of one history and half of another is a state that the topic never had.
+BOOST_AUTO_TEST_CASE(pages_of_two_epochs_are_no_list)
+{
+    running_store of;
+    for (int i = 0; i < 700; ++i) {
+        of.store.put(mine, "k/" + std::to_string(10000 + i), "v");
+    }
+    of.store.take_backup();
+    bool restored = false;
+    of.before_call = [&](const net::http_call& call) {
+        if (!restored && call.target.find("after=") != std::string::npos) {
+            restored = true;
+            of.store.restore_backup();
+        }
+    };
+    BOOST_TEST(!of.list(of.topic(mine)).ok);
+    BOOST_TEST(restored);
+    const auto again = of.list(of.topic(mine));
+    BOOST_TEST(again.ok);
+    BOOST_TEST(again.epoch == 2U);
+    BOOST_TEST(again.records.size() == 700U);
+}
+
+// A store that is never restored needs no epoch, and daemons must still follow it.
+BOOST_AUTO_TEST_CASE(an_answer_without_an_epoch_is_of_epoch_zero)
+{
+    running_store of;
+    of.before_answer = [](net::http_answer& answer) {
+        std::erase_if(answer.headers,
+                      [](const net::field& each) { return each.name == "Store-Era"; });
+    };
+    of.store.put(mine, "a", "1");
+    const auto listed = of.list(of.topic(mine));
+    BOOST_TEST(listed.ok);
+    BOOST_TEST(listed.epoch == 0U);
+    const auto read = of.read(of.topic(mine), 0);
+    BOOST_TEST((read.outcome == platform::read_outcome::ok));
+    BOOST_TEST(read.epoch == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
