Test what gateways do when the store is restored from a backup

What daemons keep over a restore was tested in virtual time, without sockets, requests and backend servers.

Change: seven cases with gateways as processes: a new route after a restore, a route in force and a gateway that starts while the store lacks it, a data centre out of service, a backend server that drains and one that is gone while older registrations are back, and a store without any record. The deployment keeps what operators have in force, so that it can be written again.

--- a/tests/deployment/local_backend.cpp
+++ b/tests/deployment/local_backend.cpp
@@ -59,7 +59,7 @@
 std::optional<std::string> local_backend::registration()
 {
     const std::lock_guard hold(this->lock);
-    if (this->down()) {
+    if (this->down() || !this->registering) {
         return std::nullopt;
     }
     const auto cold = std::max(duration::zero(), duration(this->cold_until - steady_now()));
@@ -87,6 +87,7 @@
         this->instance = next_id;
         this->sequence = 0;
         this->draining = false;
+        this->registering = true;
         this->forbidden_from.reset();
         this->hanging = false;
         this->up_at = steady_now() + away;
@@ -111,6 +112,12 @@
     this->draining = true;
 }
 
+void local_backend::stop_registering()
+{
+    const std::lock_guard hold(this->lock);
+    this->registering = false;
+}
+
 void local_backend::forbid_from(time_point when)
 {
     const std::lock_guard hold(this->lock);
--- a/tests/deployment/local_backend.hpp
+++ b/tests/deployment/local_backend.hpp
@@ -25,7 +25,7 @@
     local_backend(std::string id, std::string data_centre, unsigned slots, duration work,
                   asio::io_context& links, standin::delays& timers, judge& watched_by);
 
-    // What it writes to the store about itself; nothing while it is down.
+    // What it writes to the store about itself; nothing while it is down or writes nothing more.
     [[nodiscard]] std::optional<std::string> registration();
     [[nodiscard]] std::string id() const;
     [[nodiscard]] const std::string& data_centre() const { return this->zone; }
@@ -38,6 +38,8 @@
     void turn_cold(duration cold_for);
     // Takes on nothing after a while, and says so.
     void drain();
+    // Writes nothing more to the store, and goes on serving.
+    void stop_registering();
     // Answers nothing that it runs from now on, or answers again.
     void hang(bool on);
 
@@ -74,6 +76,7 @@
     time_point up_at{};
     time_point cold_until{};
     bool draining = false;
+    bool registering = true;
     std::optional<time_point> forbidden_from;
     // While the link holds or has just held requests, they don't arrive when they were sent.
     bool link_passes = true;
--- a/tests/deployment/local_deployment.cpp
+++ b/tests/deployment/local_deployment.cpp
@@ -177,13 +177,27 @@
                                                {"max_connections", 200},
                                                {"cold_start_s", 3},
                                                {"cold_per_s", cold_per_second}}})}};
-    this->store.put("keyed.op", "config", made.dump());
+    this->write_operators_record("config", made.dump());
 }
 
 void local_deployment::set_out_of_service(const std::string& data_centre, bool out)
 {
-    this->store.put("keyed.op", "evacuate/" + data_centre,
-                    out ? std::optional<std::string>("{}") : std::nullopt);
+    this->write_operators_record("evacuate/" + data_centre,
+                                 out ? std::optional<std::string>("{}") : std::nullopt);
+}
+
+void local_deployment::write_operators_record(const std::string& key,
+                                              const std::optional<std::string>& value)
+{
+    this->operators_records[key] = value;
+    this->store.put("keyed.op", key, value);
+}
+
+void local_deployment::write_operators_records_again()
+{
+    for (const auto& [key, value] : this->operators_records) {
+        this->store.put("keyed.op", key, value);
+    }
 }
 
 bool local_deployment::ready(const gateway_vm& vm) const
--- a/tests/deployment/local_deployment.hpp
+++ b/tests/deployment/local_deployment.hpp
@@ -14,6 +14,7 @@
 
 #include <atomic>
 #include <deque>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -73,6 +74,9 @@
     // Registers every living backend server again, as each does by itself all the time.
     void heartbeat();
 
+    // Writes what operators have in force again, as they do when the store has lost records.
+    void write_operators_records_again();
+
     // Whether the gateway says that it is ready.
     [[nodiscard]] bool ready(const gateway_vm& vm) const;
 
@@ -81,6 +85,8 @@
     [[nodiscard]] const std::vector<std::string>& data_centres() const { return this->zones; }
 
 private:
+    void write_operators_record(const std::string& key, const std::optional<std::string>& value);
+
     // The members that others use come first, as they must end last.
     asio::io_context executor;
     asio::executor_work_guard<asio::io_context::executor_type> work;
@@ -100,6 +106,8 @@
     std::unique_ptr<net::http_server> store_server;
     std::thread links;
     std::uint64_t version = 0;
+    // What operators have in force, by key; a key that they dropped has no value.
+    std::map<std::string, std::optional<std::string>> operators_records;
     std::size_t last_backend = 0;
     std::uint16_t peers_port = 0;
     std::uint16_t callers_port = 0;
--- a/tests/soak/gateway_process_tests.cpp
+++ b/tests/soak/gateway_process_tests.cpp
@@ -19,13 +19,22 @@
 
 constexpr auto deadline = milliseconds(2000);
 constexpr int status_ok = 200;
+// The bounds that the users set for their sites.
+constexpr auto configuration_bound = milliseconds(2500);
+constexpr auto out_of_service_bound = milliseconds(5000);
+// Operators and backend servers write again what a restored store has lost after this long.
+constexpr auto written_again_after = milliseconds(500);
 
 struct small_deployment {
     judge watch;
-    local_deployment place{{2, 2, 4, milliseconds(30), ""}, watch};
+    local_deployment place;
     std::size_t asked = 0;
 
-    small_deployment() { BOOST_REQUIRE(this->place.wait_until_all_ready()); }
+    explicit small_deployment(std::size_t gateways = 2)
+        : place({gateways, 2, 4, milliseconds(30), ""}, watch)
+    {
+        BOOST_REQUIRE(this->place.wait_until_all_ready());
+    }
 
     int ask(const gateway_vm& vm, const std::string& path = "/plates/", bool idempotent = true)
     {
@@ -43,6 +52,39 @@
         return answer->status;
     }
 
+    // Asks every gateway in turn for that long, and expects every request to be served.
+    void expect_served(duration span, const std::string& path = "/plates/")
+    {
+        const auto until = steady_now() + span;
+        while (steady_now() < until) {
+            for (const auto& vm : this->place.gateways) {
+                const auto status = this->ask(vm, path);
+                BOOST_TEST(status == status_ok,
+                           vm.name << " answered " << path << " with " << status);
+            }
+        }
+    }
+
+    // The store is away for a moment and comes back as it was at its last backup.
+    void restore_store()
+    {
+        standin::store_faults away;
+        away.outage = true;
+        this->place.store.set_faults(away);
+        this->expect_served(milliseconds(500));
+        this->place.store.restore_backup();
+        this->place.store.set_faults({});
+    }
+
+    // Waits until every gateway has logged this.
+    void await_logged(const std::string& text) const
+    {
+        for (const auto& vm : this->place.gateways) {
+            BOOST_REQUIRE(
+                eventually([&] { return this->log_of(vm).find(text) != std::string::npos; }));
+        }
+    }
+
     void check() const
     {
         for (const auto& each : this->watch.faults()) {
@@ -218,4 +260,134 @@
     of.check();
 }
 
+// Gateways that compare offsets of before and after a restore drop the new configuration.
+BOOST_AUTO_TEST_CASE(after_a_restore_a_new_route_is_served_by_every_gateway)
+{
+    small_deployment of(5);
+    of.place.store.take_backup();
+    for (int i = 0; i < 3; ++i) {
+        of.place.configure(false);
+    }
+    of.await_logged("event=configuration_in_force version=4");
+    of.restore_store();
+    of.expect_served(written_again_after);
+    of.place.write_operators_records_again();
+    of.expect_served(milliseconds(1500));
+    of.place.configure(true);
+    const auto until = steady_now() + configuration_bound;
+    for (const auto& vm : of.place.gateways) {
+        int status = of.ask(vm, "/extra/");
+        while (status != status_ok && steady_now() < until) {
+            status = of.ask(vm, "/extra/");
+        }
+        BOOST_TEST(status == status_ok, vm.name << " answers the new route with " << status);
+    }
+    of.check();
+}
+
+// A configuration that the store has lost must not give way to the older one that it still has.
+BOOST_AUTO_TEST_CASE(a_route_in_force_stays_in_force_while_a_restored_store_lacks_it)
+{
+    small_deployment of(3);
+    of.place.store.take_backup();
+    of.place.configure(true);
+    of.await_logged("event=configuration_in_force version=2");
+    of.restore_store();
+    of.expect_served(written_again_after, "/extra/");
+    of.place.write_operators_records_again();
+    of.expect_served(milliseconds(2000), "/extra/");
+    of.check();
+}
+
+// A gateway that starts learns from the others what the store has lost.
+BOOST_AUTO_TEST_CASE(a_gateway_that_starts_while_a_restored_store_lacks_a_route_knows_it)
+{
+    small_deployment of(3);
+    of.place.store.take_backup();
+    of.place.configure(true);
+    of.await_logged("event=configuration_in_force version=2");
+    of.restore_store();
+    auto& vm = of.place.gateways.back();
+    vm.process.reset();
+    of.place.start(vm);
+    const auto until = steady_now() + written_again_after;
+    while (steady_now() < until) {
+        BOOST_TEST(of.ask(vm, "/extra/") != 404);
+    }
+    of.place.write_operators_records_again();
+    BOOST_TEST(eventually([&] {
+        const auto status = of.ask(vm, "/extra/");
+        BOOST_TEST(status != 404);
+        return status == status_ok;
+    }));
+    of.check();
+}
+
+// The record that takes a data centre out of service is lost for a moment, the order is not.
+BOOST_AUTO_TEST_CASE(a_data_centre_out_of_service_gets_nothing_while_a_restored_store_lacks_it)
+{
+    small_deployment of(3);
+    const auto out = of.place.data_centres().front();
+    of.place.store.take_backup();
+    of.place.set_out_of_service(out, true);
+    of.await_logged("data_centre=" + out + " in_service=false");
+    for (const auto& each : of.place.backends) {
+        if (each->data_centre() == out) {
+            each->forbid_from(steady_now() + out_of_service_bound);
+        }
+    }
+    of.expect_served(out_of_service_bound);
+    of.restore_store();
+    of.expect_served(written_again_after);
+    of.place.write_operators_records_again();
+    of.expect_served(milliseconds(2000));
+    of.check();
+}
+
+// The older registration in a restored store says that the backend server is ready.
+BOOST_AUTO_TEST_CASE(a_draining_backend_server_gets_nothing_because_of_a_restored_registration)
+{
+    small_deployment of(3);
+    auto& leaving = *of.place.backends.front();
+    of.place.store.take_backup();
+    leaving.drain();
+    of.place.heartbeat();
+    of.await_logged("state=draining");
+    leaving.forbid_from(steady_now());
+    of.restore_store();
+    of.expect_served(written_again_after);
+    of.place.heartbeat();
+    of.expect_served(milliseconds(2000));
+    of.check();
+}
+
+// A backend server that left without a word is in the restored store as if it were there.
+BOOST_AUTO_TEST_CASE(a_backend_server_that_is_gone_gets_nothing_because_of_a_restored_registration)
+{
+    small_deployment of(3);
+    auto& leaving = *of.place.backends.front();
+    of.place.store.take_backup();
+    leaving.stop_registering();
+    of.place.store.put("keyed.servers", leaving.id(), std::nullopt);
+    of.await_logged("event=backend_removed backend=" + leaving.id());
+    leaving.forbid_from(steady_now());
+    of.restore_store();
+    of.expect_served(written_again_after);
+    of.place.heartbeat();
+    of.expect_served(milliseconds(2000));
+    of.check();
+}
+
+// Without what was known before the restore there would be no route and no backend server.
+BOOST_AUTO_TEST_CASE(requests_are_served_while_a_restored_store_has_no_records_at_all)
+{
+    small_deployment of(3);
+    of.restore_store();
+    of.expect_served(written_again_after);
+    of.place.write_operators_records_again();
+    of.place.heartbeat();
+    of.expect_served(milliseconds(2000));
+    of.check();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
