Read field values without the white space after them

Cause: the parser takes white space before a value off, but leaves that after it, though neither is part of the value (RFC 9112, section 5.1). So `Host: a.example ` matched no route and got 404, and a deadline or the name of a request with a space after it was not the one that was meant. After the values that frame a body, it knew a space, but no tab: `Content-Length: 17<tab>` and `Transfer-Encoding: chunked<tab>` got 400.

Change: the reader trims the values of a whole header; a tab in a field that frames the body is fed to the parser as the space that it means. A tab inside such a value or before the colon, and a length that goes on in the next line, stay malformed (new cases, malformed before too).

The test plays the allowed forms of a request against the reader: methods, targets, hosts, fields, framings of the body and empty lines before it, one at a time, whole and cut at every byte.

--- a/src/azureshore/http1/message_reader.cpp
+++ b/src/azureshore/http1/message_reader.cpp
@@ -28,8 +28,7 @@
                 continue;
             }
             this->started = true;
-            used += http_parser_execute(&this->engine, &settings(), part.data(), part.size());
-            this->check();
+            used += this->head_done ? this->execute(part) : this->execute_spaced(part);
         }
         return used;
     }
@@ -130,6 +129,31 @@
         return this->count(length);
     }
 
+    std::size_t execute(std::string_view part)
+    {
+        const auto used = http_parser_execute(&this->engine, &settings(), part.data(), part.size());
+        this->check();
+        return used;
+    }
+
+    // The parser knows no white space but spaces after the values that frame a body; a tab means
+    // the same there.
+    std::size_t execute_spaced(std::string_view part)
+    {
+        if (part.front() == '\t' && this->in_framing_field()) {
+            return this->execute(" ");
+        }
+        const auto tab = part.find('\t', 1);
+        return this->execute(part.substr(0, tab));
+    }
+
+    [[nodiscard]] bool in_framing_field() const
+    {
+        return !this->fields.empty() &&
+               (net::same_name(this->fields.back().name, "Content-Length") ||
+                net::same_name(this->fields.back().name, "Transfer-Encoding"));
+    }
+
     int add_name(const char* at, std::size_t length)
     {
         if (this->head_done) {
@@ -157,6 +181,7 @@
     int header_ended()
     {
         this->head_done = true;
+        this->trim_values();
         const bool tunnel =
             this->kind == message_kind::request && this->engine.method == HTTP_CONNECT;
         // An offer to upgrade is declined by going on with this protocol.
@@ -174,6 +199,14 @@
         return this->no_body ? 1 : 0;
     }
 
+    // White space after a value is no part of it (RFC 9112, section 5.1).
+    void trim_values()
+    {
+        for (auto& each : this->fields) {
+            each.value = std::string(net::trimmed(each.value));
+        }
+    }
+
     // A space before the colon: readers differ in whether it belongs to the name.
     [[nodiscard]] bool has_spaced_name() const
     {
@@ -190,7 +223,7 @@
         bool sized = false;
         for (const auto& each : this->fields) {
             if (net::same_name(each.name, "Transfer-Encoding")) {
-                if (chunked || !net::same_name(net::trimmed(each.value), "chunked")) {
+                if (chunked || !net::same_name(each.value, "chunked")) {
                     return false;
                 }
                 chunked = true;
--- a/tests/http1/message_reader_tests.cpp
+++ b/tests/http1/message_reader_tests.cpp
@@ -35,6 +35,13 @@
     {"two codings in two fields", "POST / HTTP/1.1\r\nTransfer-Encoding: "
                                   "chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
     {"a space before the colon", "GET / HTTP/1.1\r\nHost : a\r\n\r\n"},
+    {"a tab before the colon", "POST / HTTP/1.1\r\nContent-Length\t: 3\r\n\r\nabc"},
+    {"a tab inside a length", "POST / HTTP/1.1\r\nContent-Length: 1\t3\r\n\r\nabc"},
+    {"a tab inside a coding", "POST / HTTP/1.1\r\nTransfer-Encoding: chun\tked\r\n\r\n0\r\n\r\n"},
+    {"a coding after a tab",
+     "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\tgzip\r\n\r\n0\r\n\r\n"},
+    {"a length that goes on in the next line",
+     "POST / HTTP/1.1\r\nContent-Length: 1\r\n\t3\r\n\r\nabc"},
     {"a tunnel", "CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n"},
     {"a chunk size that is no number",
      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"},
