Take requests whose target is a whole URI

Cause: a server must accept a target such as `http://a.example/plates/1` and take the host from it (RFC 9112, section 3.2.2). The gateway demanded a target that begins with a slash and gave 400. So did OPTIONS with the target `*`, which is allowed and has no route.

Change: a whole http or https URI is split into its path and query and its host, which overrides Host, before anything is decided; the backend server gets the path as before. `OPTIONS *` gets 404. Still 400: no Host or two, another scheme, no host or a user in the URI, and `*` with another method.

--- a/src/azureshore/gateway/gateway.cpp
+++ b/src/azureshore/gateway/gateway.cpp
@@ -35,13 +35,14 @@
     return stable_hash(request.body, stable_hash(request.target, stable_hash(request.method)));
 }
 
-// A request has exactly one Host and a path.
+// A request has exactly one Host and a path; OPTIONS may ask about the server as a whole.
 bool well_formed(const http1::request& request)
 {
     const auto hosts =
         std::count_if(request.fields.begin(), request.fields.end(),
                       [](const net::field& each) { return net::same_name(each.name, "Host"); });
-    return hosts == 1 && request.target.starts_with('/');
+    return hosts == 1 && (request.target.starts_with('/') ||
+                          (request.target == "*" && request.method == "OPTIONS"));
 }
 
 } // namespace
@@ -159,6 +160,7 @@
 
     void begin(request_number number, http1::request request)
     {
+        http1::use_origin_form(request);
         if (!well_formed(request)) {
             this->reject(status_bad_request, "no_single_host_and_path",
                          net::find_field(request.fields, this->words.request_id));
--- a/src/azureshore/http1/message.cpp
+++ b/src/azureshore/http1/message.cpp
@@ -2,6 +2,8 @@
 
 #include <http_parser.h>
 
+#include <algorithm>
+
 namespace azureshore::http1 {
 
 namespace {
@@ -27,8 +29,49 @@
     return method == "POST" || method == "PUT" || method == "PATCH";
 }
 
+// The length of the scheme and the slashes that begin a URI of the web; zero for other text.
+std::size_t scheme_length(std::string_view target)
+{
+    for (const std::string_view scheme : {"http://", "https://"}) {
+        if (net::same_name(target.substr(0, scheme.size()), scheme)) {
+            return scheme.size();
+        }
+    }
+    return 0;
+}
+
+// The target that stands for the rest of a URI after its host. OPTIONS without a path asks about
+// the server as a whole.
+std::string after_host(const request& of, std::string rest)
+{
+    if (rest.empty() && of.method == "OPTIONS") {
+        return "*";
+    }
+    return rest.starts_with('/') ? rest : "/" + rest;
+}
+
 } // namespace
 
+void use_origin_form(request& of)
+{
+    const auto scheme = scheme_length(of.target);
+    if (scheme == 0) {
+        return;
+    }
+    const auto host_end = std::min(of.target.find_first_of("/?", scheme), of.target.size());
+    const auto host = of.target.substr(scheme, host_end - scheme);
+    // A URI of the web has a host, and names no user (RFC 9110, section 4.2).
+    if (host.empty() || host.find('@') != std::string::npos) {
+        return;
+    }
+    of.target = after_host(of, of.target.substr(host_end));
+    for (auto& each : of.fields) {
+        if (net::same_name(each.name, "Host")) {
+            each.value = host;
+        }
+    }
+}
+
 std::string write_request(const request& out)
 {
     std::string bytes;
--- a/tests/http1/message_reader_tests.cpp
+++ b/tests/http1/message_reader_tests.cpp
@@ -179,6 +179,42 @@
     }
 }
 
+// Guards against a target that is a whole URI and keeps its host, or a Host that outranks it.
+BOOST_AUTO_TEST_CASE(a_target_that_is_a_whole_uri_becomes_its_path_and_its_host)
+{
+    struct example {
+        std::string method;
+        std::string target;
+        std::string expected_target;
+        std::string expected_host;
+    };
+    for (const auto& each : std::vector<example>{
+             {"GET", "http://a.example/b?c", "/b?c", "a.example"},
+             {"GET", "HTTPS://A.example:8080/b/http://d/", "/b/http://d/", "A.example:8080"},
+             {"GET", "http://a.example", "/", "a.example"},
+             {"GET", "http://a.example?c=/d", "/?c=/d", "a.example"},
+             {"GET", "http://[::1]:80/b", "/b", "[::1]:80"},
+             {"OPTIONS", "http://a.example", "*", "a.example"},
+             {"OPTIONS", "http://a.example/", "/", "a.example"},
+             {"GET", "/b?c=http://d/", "/b?c=http://d/", "other"},
+             {"GET", "//a.example/b", "//a.example/b", "other"},
+             {"GET", "ftp://a.example/b", "ftp://a.example/b", "other"},
+             {"GET", "http:///b", "http:///b", "other"},
+             {"GET", "http://user@a.example/b", "http://user@a.example/b", "other"}}) {
+        request made;
+        made.method = each.method;
+        made.target = each.target;
+        made.fields = {{"X-Own", "1"}, {"hOST", "other"}};
+        use_origin_form(made);
+        BOOST_TEST_CONTEXT(each.method << " " << each.target)
+        {
+            BOOST_TEST(made.target == each.expected_target);
+            BOOST_TEST(net::find_field(made.fields, "Host") == each.expected_host);
+            BOOST_TEST(made.fields.size() == 2U);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(fields_of_one_connection_do_not_go_on)
 {
     const std::vector<net::field> fields{
