Take every method that is a token

Cause: the parser knows 34 methods; the reader gave 400 for any other, such as QUERY. A method may be any token (RFC 9110, section 9.1), the gateway has to forward it unchanged, and whether it is served is for the backend server to say.

Change: the reader takes the method itself. Only CONNECT changes how a request is read and stays malformed, so the parser is given another method for all. No method, one that is no token, or one without a space after it stay malformed (new cases, malformed before too).

--- a/src/azureshore/http1/message_reader.cpp
+++ b/src/azureshore/http1/message_reader.cpp
@@ -12,6 +12,14 @@
 // The empty line that ends a header.
 constexpr std::size_t header_end_bytes = 2;
 
+// Whether a character may stand in a token (RFC 9110, section 5.6.2).
+bool is_token_character(char letter)
+{
+    return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') ||
+           (letter >= '0' && letter <= '9') ||
+           std::string_view("!#$%&'*+-.^_`|~").find(letter) != std::string_view::npos;
+}
+
 } // namespace
 
 // Collects what http_parser finds.
@@ -52,6 +60,8 @@
         this->head_done = false;
         this->header_bytes = 0;
         this->trailer_bytes = 0;
+        this->method.clear();
+        this->method_done = this->kind == message_kind::response;
         this->target.clear();
         this->fields.clear();
         this->body.clear();
@@ -68,6 +78,8 @@
     bool in_value = false;
     std::size_t header_bytes = 0;
     std::size_t trailer_bytes = 0;
+    std::string method;
+    bool method_done = false;
     std::string target;
     std::vector<net::field> fields;
     std::string body;
@@ -132,7 +144,8 @@
         const auto most = std::min<std::size_t>(allowed - this->header_bytes, HTTP_MAX_HEADER_SIZE);
         // The parser's own count would end a header at a limit of its own.
         this->engine.nread = 0;
-        const auto used = this->execute_spaced(part.substr(0, most));
+        const auto used = this->method_done ? this->execute_spaced(part.substr(0, most))
+                                            : this->execute_method(part.substr(0, most));
         if (!this->head_done) {
             this->header_bytes += used;
             if (this->header_bytes >= allowed && this->now == read_state::need_more) {
@@ -142,6 +155,25 @@
         return used;
     }
 
+    // The parser knows few methods, but any token is one (RFC 9110, section 9.1). None of them but
+    // CONNECT changes how a request is read, so the parser gets one that it knows.
+    std::size_t execute_method(std::string_view part)
+    {
+        const auto* const end = std::find_if_not(part.begin(), part.end(), is_token_character);
+        const auto length = static_cast<std::size_t>(end - part.begin());
+        this->method.append(part.substr(0, length));
+        if (end == part.end()) {
+            return length;
+        }
+        if (*end != ' ' || this->method.empty() || this->method == "CONNECT") {
+            this->now = read_state::malformed;
+            return length;
+        }
+        this->method_done = true;
+        this->execute("POST ");
+        return length + 1;
+    }
+
     // The parser knows no white space but spaces after the values that frame a body; a tab means
     // the same there.
     std::size_t execute_spaced(std::string_view part)
@@ -198,11 +230,9 @@
     {
         this->head_done = true;
         this->trim_values();
-        const bool tunnel =
-            this->kind == message_kind::request && this->engine.method == HTTP_CONNECT;
         // An offer to upgrade is declined by going on with this protocol.
         this->engine.upgrade = 0;
-        if (tunnel || this->has_spaced_name() ||
+        if (this->has_spaced_name() ||
             (this->kind == message_kind::request && !this->framed_safely())) {
             this->now = read_state::malformed;
             return -1;
@@ -330,7 +360,7 @@
 {
     auto& from = *this->inner;
     request taken;
-    taken.method = http_method_str(static_cast<http_method>(from.engine.method));
+    taken.method = std::move(from.method);
     taken.target = std::move(from.target);
     taken.fields = std::move(from.fields);
     taken.body = std::move(from.body);
--- a/tests/http1/message_reader_tests.cpp
+++ b/tests/http1/message_reader_tests.cpp
@@ -35,6 +35,11 @@
     {"two codings in two fields", "POST / HTTP/1.1\r\nTransfer-Encoding: "
                                   "chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
     {"a space before the colon", "GET / HTTP/1.1\r\nHost : a\r\n\r\n"},
+    {"no method", " / HTTP/1.1\r\nHost: a\r\n\r\n"},
+    {"a method alone", "GET\r\nHost: a\r\n\r\n"},
+    {"a method that is no token", "GE(T / HTTP/1.1\r\nHost: a\r\n\r\n"},
+    {"a method with a byte that is no text", "G\x80T / HTTP/1.1\r\nHost: a\r\n\r\n"},
+    {"a tab after the method", "GET\t/ HTTP/1.1\r\nHost: a\r\n\r\n"},
     {"a tab before the colon", "POST / HTTP/1.1\r\nContent-Length\t: 3\r\n\r\nabc"},
     {"a tab inside a length", "POST / HTTP/1.1\r\nContent-Length: 1\t3\r\n\r\nabc"},
     {"a tab inside a coding", "POST / HTTP/1.1\r\nTransfer-Encoding: chun\tked\r\n\r\n0\r\n\r\n"},
--- a/tests/support/request_forms.cpp
+++ b/tests/support/request_forms.cpp
@@ -167,7 +167,8 @@
 {
     variation_kind all{{"the usual method", [](draft&, const form_frame&) {
                         }}};
-    for (const std::string method : {"GET", "HEAD", "DELETE", "OPTIONS", "PATCH", "PUT", "POST"}) {
+    for (const std::string method : {"GET", "HEAD", "DELETE", "OPTIONS", "PATCH", "PUT", "POST",
+                                     "PROPFIND", "QUERY", "get", "!#$%&'*+-.^_`|~09azAZ"}) {
         all.push_back({method, [method](draft& to, const form_frame&) {
                            to.method = method;
                        }});
