Refuse no request by limits that no configuration in force set

Cause: until its first configuration a gateway read requests with limits of its own, 16 KiB and 1 MiB. A gateway without a configuration is to answer 503. And a request kept the limits from its first byte on, so one whose head was half read when larger limits came in force was refused too.

Change: until an operator's limits are known, what is too large for the default ones is refused with 503 and Retry-After as not run. Later, a request may use the largest limits that were in force since its first byte.

Red before, 11 checks: a_gateway_without_a_configuration_calls_no_request_too_large: [413 != 503], [431 != 503] larger_limits_hold_for_a_request_that_is_half_read: [431 != 200], [413 != 200] Larger limits for the next request of an open connection, and smaller ones during a request, were right before. Now green, test_gateway three times.

--- a/src/azureshore/gateway/gateway.cpp
+++ b/src/azureshore/gateway/gateway.cpp
@@ -188,7 +188,9 @@
     // Logs a request that never reaches a decision.
     void reject(int status, std::string_view cause, std::string_view id)
     {
-        this->count_client_error(status, cause);
+        if (status < first_server_error) {
+            this->count_client_error(status, cause);
+        }
         if (this->log) {
             this->log({"reject",
                        {{"request", std::string(id)},
--- a/src/azureshore/gateway/http_port.cpp
+++ b/src/azureshore/gateway/http_port.cpp
@@ -116,6 +116,8 @@
         return this->current_limits;
     }
 
+    [[nodiscard]] bool limits_known() const override { return this->has_limits; }
+
     [[nodiscard]] bool keeps_connections() const override { return this->keeping; }
 
     [[nodiscard]] std::size_t in_flight() const
@@ -131,6 +133,7 @@
     asio::steady_timer pause;
     http_port_hooks hooks;
     balance::caller_limits current_limits;
+    bool has_limits = false;
     bool keeping = true;
     bool stopped = false;
 
@@ -170,6 +173,7 @@
 void http_port::set_limits(const balance::caller_limits& limits)
 {
     this->inner->current_limits = limits;
+    this->inner->has_limits = true;
 }
 
 void http_port::stop_keeping()
--- a/src/azureshore/gateway/internal/caller_connection.cpp
+++ b/src/azureshore/gateway/internal/caller_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <asio/write.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace azureshore::gateway::detail {
@@ -12,6 +13,9 @@
 constexpr int status_request_timeout = 408;
 constexpr int status_content_too_large = 413;
 constexpr int status_header_too_large = 431;
+constexpr int status_unavailable = 503;
+// Seconds until a daemon that has just started is likely to have a configuration.
+constexpr std::string_view retry_after_start = "0.1";
 
 // How long a closing connection is read, so that the answer is not lost by a reset.
 constexpr duration linger_time = std::chrono::milliseconds(500);
@@ -26,8 +30,7 @@
 
 caller_connection::caller_connection(asio::ip::tcp::socket accepted, caller_owner& port)
     : socket(std::move(accepted)), owner(port), timer(this->socket.get_executor()),
-      reader(http1::message_kind::request,
-             {port.limits().max_header_bytes, port.limits().max_body_bytes})
+      reader(http1::message_kind::request, this->allowed)
 {
 }
 
@@ -79,10 +82,7 @@
 
 void caller_connection::take_bytes()
 {
-    if (!this->reader.begun()) {
-        this->reader.set_limits(
-            {this->owner.limits().max_header_bytes, this->owner.limits().max_body_bytes});
-    }
+    this->update_limits();
     const auto used = this->reader.feed(this->pending);
     this->pending.erase(0, used);
     switch (this->reader.state()) {
@@ -96,14 +96,29 @@
         this->reject(status_bad_request, "malformed");
         return;
     case http1::read_state::header_too_large:
-        this->reject(status_header_too_large, "header_too_large");
+        this->reject_too_large(status_header_too_large, "header_too_large");
         return;
     case http1::read_state::body_too_large:
-        this->reject(status_content_too_large, "body_too_large");
+        this->reject_too_large(status_content_too_large, "body_too_large");
         return;
     }
 }
 
+// New limits may come while a request is read; what any configuration since its first byte allows
+// is not refused.
+void caller_connection::update_limits()
+{
+    const http1::reader_limits now_set{this->owner.limits().max_header_bytes,
+                                       this->owner.limits().max_body_bytes};
+    if (!this->reader.begun()) {
+        this->allowed = now_set;
+    }
+    this->allowed.max_header_bytes =
+        std::max(this->allowed.max_header_bytes, now_set.max_header_bytes);
+    this->allowed.max_body_bytes = std::max(this->allowed.max_body_bytes, now_set.max_body_bytes);
+    this->reader.set_limits(this->allowed);
+}
+
 // Sets the time for the header when its first byte comes, and that for the body after it.
 void caller_connection::timer_for_request()
 {
@@ -152,12 +167,24 @@
     this->write(http1::write_response(answer, this->to_head));
 }
 
-void caller_connection::reject(int status, std::string_view cause)
+// Without the operators' limits, nothing is known to be too large: another daemon may take it.
+void caller_connection::reject_too_large(int status, std::string_view cause)
+{
+    if (this->owner.limits_known()) {
+        this->reject(status, cause);
+        return;
+    }
+    this->reject(status_unavailable, "no_configuration",
+                 {{"Retry-After", std::string(retry_after_start)}});
+}
+
+void caller_connection::reject(int status, std::string_view cause, std::vector<net::field> fields)
 {
     this->owner.rejected(status, cause);
     this->close_after = true;
     http1::response refused;
     refused.status = status;
+    refused.fields = std::move(fields);
     refused.keep_alive = false;
     this->write(http1::write_response(refused, false));
 }
--- a/src/azureshore/gateway/internal/caller_connection.hpp
+++ b/src/azureshore/gateway/internal/caller_connection.hpp
@@ -13,6 +13,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace azureshore::gateway::detail {
 
@@ -34,6 +35,8 @@
     virtual void rejected(int status, std::string_view cause) = 0;
     virtual void closed(const std::shared_ptr<caller_connection>& which) = 0;
     [[nodiscard]] virtual const balance::caller_limits& limits() const = 0;
+    // Whether an operator has set the limits.
+    [[nodiscard]] virtual bool limits_known() const = 0;
     [[nodiscard]] virtual bool keeps_connections() const = 0;
 };
 
@@ -56,8 +59,10 @@
     void read();
     void bytes_came(std::size_t count);
     void take_bytes();
+    void update_limits();
     void request_complete();
-    void reject(int status, std::string_view cause);
+    void reject(int status, std::string_view cause, std::vector<net::field> fields = {});
+    void reject_too_large(int status, std::string_view cause);
     void write(std::string bytes);
     void written();
     void linger();
@@ -69,6 +74,8 @@
     asio::ip::tcp::socket socket;
     caller_owner& owner;
     asio::steady_timer timer;
+    // What the request under way may use.
+    http1::reader_limits allowed;
     http1::message_reader reader;
     std::array<char, 8192> buffer{};
     // Bytes that came and are not parsed yet.
--- a/src/azureshore/http1/message_reader.hpp
+++ b/src/azureshore/http1/message_reader.hpp
@@ -59,7 +59,7 @@
     request take_request();
     response take_response();
 
-    // Limits for the messages to come.
+    // Limits for the rest of the message under way and for those to come.
     void set_limits(reader_limits limits);
 
     // Before a response is read: whether it answers a HEAD request and so has no body.
--- a/tests/gateway/running_gateway.cpp
+++ b/tests/gateway/running_gateway.cpp
@@ -103,11 +103,13 @@
     std::thread thread;
 };
 
-running_gateway::running_gateway() : inner(std::make_unique<state>())
+running_gateway::running_gateway() : running_gateway(std::nullopt)
 {
     this->configure({});
 }
 
+running_gateway::running_gateway(std::nullopt_t) : inner(std::make_unique<state>()) {}
+
 running_gateway::~running_gateway() = default;
 
 void running_gateway::configure(const balance::caller_limits& limits)
--- a/tests/gateway/running_gateway.hpp
+++ b/tests/gateway/running_gateway.hpp
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace azureshore::test {
@@ -26,6 +27,8 @@
 class running_gateway {
 public:
     running_gateway();
+    // One that knows neither a configuration nor backend servers yet.
+    explicit running_gateway(std::nullopt_t unconfigured);
     ~running_gateway();
     running_gateway(const running_gateway&) = delete;
     running_gateway& operator=(const running_gateway&) = delete;
