Pass on no answer that bears no signature

Cause: an answer with the request's id, whole and without the mark of a request that did not run, was the backend server's answer to the gateway, signature or not. A success without one, or a 4xx that no backend server gave, reached the caller as its outcome; a 429 or 503 even as the promise that the request had not run.

Ruled out: answers that are properly unsigned. All backend servers of the tests sign what they ran.

Change: such an answer leaves the outcome unknown: an idempotent request is sent again within its budget, another ends with 502. Its connection is closed. `attempt_ended` says `unknown` with the status and `signed` false.

Red before, 15 checks: 200, 302, 404, 413, 429, 500 and 503 without a signature reached the caller ("HTTP/1.1 200 OK" where 502 is due), also for an idempotent request that another backend server could answer (came == 2 has failed [1 != 2]).

--- a/src/azureshore/balance/dispatch_types.hpp
+++ b/src/azureshore/balance/dispatch_types.hpp
@@ -55,17 +55,18 @@
 
 // How an attempt ended.
 enum class attempt_end : std::uint8_t {
-    // The backend server's complete answer was received.
+    // The backend server's complete answer, with its signature, was received.
     answered,
     // The backend server stated, or the connection proves, that the request did not run.
     not_run,
-    // The request may have run, but no answer was received.
+    // The request may have run, but no answer was received, or one without a signature.
     unknown,
 };
 
 struct attempt_result {
     attempt_end end = attempt_end::unknown;
-    // Status of the answer, even if it states that the request did not run. Zero without an answer.
+    // Status of the answer, even if it states that the request did not run or bears no signature.
+    // Zero without an answer.
     int status = 0;
     // Whether the connection closed or the bytes were not a valid answer, as when a process
     // crashes.
--- a/src/azureshore/gateway/backend_pool.cpp
+++ b/src/azureshore/gateway/backend_pool.cpp
@@ -90,8 +90,13 @@
         next.done = [this, order, connection,
                      done = std::move(done)](detail::exchange_result result) {
             this->running.erase(order.attempt);
-            this->keep(order.backend, connection);
             const auto ended = this->read_result(result);
+            if (ended.end == balance::attempt_end::unknown) {
+                connection->abandon();
+            }
+            else {
+                this->keep(order.backend, connection);
+            }
             done(ended, std::move(result.answer));
         };
         connection->start(std::move(next));
@@ -253,7 +258,10 @@
         ended.load = this->words.read_load(net::find_field(answer.fields, this->words.load));
         const bool declined = answer.status == status_misdirected ||
                               !net::find_field(answer.fields, this->words.not_run).empty();
-        ended.end = declined ? balance::attempt_end::not_run : balance::attempt_end::answered;
+        // An answer without the signature is nobody's word on whether the request ran.
+        ended.end = declined          ? balance::attempt_end::not_run
+                    : ended.is_signed ? balance::attempt_end::answered
+                                      : balance::attempt_end::unknown;
         return ended;
     }
 
--- a/tests/gateway/gateway_tests.cpp
+++ b/tests/gateway/gateway_tests.cpp
@@ -48,6 +48,12 @@
     return true;
 }
 
+std::string unsigned_answer(const std::string& request, const std::string& status)
+{
+    return "HTTP/1.1 " + status + "\r\nRequest-Id: " + field_of(request, "Request-Id") +
+           "\r\nContent-Length: 2\r\n\r\nno";
+}
+
 // The status and the fields of the next answer.
 std::string head_of_answer(raw_client& caller)
 {
@@ -215,6 +221,70 @@
     BOOST_TEST(caller.read_until("\r\n\r\nown").ends_with("own"));
 }
 
+// Guards against an answer that no backend server vouches for and a caller takes for its outcome.
+BOOST_AUTO_TEST_CASE(an_answer_without_a_signature_is_never_passed_on)
+{
+    for (const std::string status :
+         {"200 OK", "302 Found", "404 Not Found", "413 Too Large", "429 Too Many Requests",
+          "500 Internal Server Error", "503 Service Unavailable"}) {
+        one_backend of([&status](raw_connection& connection, const std::string& request) {
+            connection.send(unsigned_answer(request, status));
+            return true;
+        });
+        raw_client caller(of.gateway.port());
+        caller.send(request_text("POST /orders/1", "r-1", "", "x"));
+        BOOST_TEST_CONTEXT(status)
+        {
+            const auto answer = head_of_answer(caller);
+            BOOST_TEST(answer.starts_with("HTTP/1.1 502 "), answer);
+            BOOST_TEST(of.seen().size() == 1U);
+        }
+    }
+}
+
+// Guards against an idempotent request that fails although another backend server could answer it.
+BOOST_AUTO_TEST_CASE(after_an_answer_without_a_signature_an_idempotent_request_is_sent_again)
+{
+    for (const std::string status : {"200 OK", "404 Not Found"}) {
+        std::atomic<int> came{0};
+        const auto answer = [&](raw_connection& connection, const std::string& request) {
+            connection.send(++came == 1 ? unsigned_answer(request, status)
+                                        : answer_to(request, "ok"));
+            return true;
+        };
+        running_gateway gateway;
+        const auto first = make_backend("plate-1", answer);
+        const auto second = make_backend("plate-2", answer);
+        gateway.add_backend("plate-1", *first);
+        gateway.add_backend("plate-2", *second);
+        raw_client caller(gateway.port());
+        caller.send(request_text("GET /plates/1", "r-1"));
+        BOOST_TEST_CONTEXT(status)
+        {
+            const auto text = caller.read_until("ok");
+            BOOST_TEST(text.ends_with("\r\n\r\nok"), text);
+            BOOST_TEST(field_of(text, "Signature") == "s");
+            BOOST_TEST(came == 2);
+        }
+    }
+}
+
+// Guards against a later request that is answered on a connection whose bytes nobody vouches for.
+BOOST_AUTO_TEST_CASE(a_connection_that_carried_an_answer_without_a_signature_is_closed)
+{
+    std::promise<void> closed;
+    one_backend of([&closed](raw_connection& connection, const std::string& request) {
+        connection.send(unsigned_answer(request, "200 OK"));
+        connection.wait_for_close();
+        closed.set_value();
+        return false;
+    });
+    raw_client caller(of.gateway.port());
+    caller.send(request_text("POST /orders/1", "r-1", "", "x"));
+    BOOST_TEST(head_of_answer(caller).starts_with("HTTP/1.1 502 "));
+    BOOST_TEST((closed.get_future().wait_for(5s) == std::future_status::ready));
+}
+
 // libcurl sends such a request again by itself (see docs/22).
 BOOST_AUTO_TEST_CASE(a_request_that_may_not_be_repeated_is_sent_once_when_its_connection_closes)
 {
