--- a/src/azureshore/http1/message.cpp
+++ b/src/azureshore/http1/message.cpp
@@ -42,7 +42,7 @@
 
 // The target that stands for the rest of a URI after its host. OPTIONS without a path asks about
 // the server as a whole.
-std::string after_host(const request& of, std::string rest)
+std::string after_host(const request& of, const std::string& rest)
 {
     if (rest.empty() && of.method == "OPTIONS") {
         return "*";
--- a/tests/gateway/allowed_forms_tests.cpp
+++ b/tests/gateway/allowed_forms_tests.cpp
@@ -126,7 +126,7 @@
     const std::string_view bytes = form.bytes;
     if (form.expects_continue) {
         send_in_parts(caller, bytes.substr(0, form.body_at), random);
-        const auto interim = caller.read_until("\r\n\r\n");
+        auto interim = caller.read_until("\r\n\r\n");
         if (interim != go_on) {
             return interim;
         }
--- a/tests/gateway/gateway_tests.cpp
+++ b/tests/gateway/gateway_tests.cpp
@@ -346,7 +346,7 @@
     raw_client caller(of.gateway.port());
     caller.send(request_text("POST /orders/1", "r-1", "", std::string(200000, 'x')));
     const auto answer = head_of_answer(caller);
-    BOOST_TEST(answer.starts_with("HTTP/1.1 413 "));
+    BOOST_TEST(answer.starts_with("HTTP/1.1 413 "), answer);
     BOOST_TEST(field_of(answer, "Signature") == "s");
 }
 
--- a/tests/http1/allowed_forms_tests.cpp
+++ b/tests/http1/allowed_forms_tests.cpp
@@ -84,7 +84,7 @@
                 if (reader.state() != read_state::complete) {
                     return state_text(reader.state());
                 }
-                const auto wrong = difference(reader.take_request(), forms.at(next++).meaning);
+                auto wrong = difference(reader.take_request(), forms.at(next++).meaning);
                 if (!wrong.empty()) {
                     return wrong;
                 }
--- a/tests/support/request_forms.cpp
+++ b/tests/support/request_forms.cpp
@@ -108,7 +108,7 @@
             }};
 }
 
-variation with_whole_body(variation of)
+variation with_whole_body(const variation& of)
 {
     return {of.name, [apply = of.apply](draft& to, const form_frame& frame) {
                 apply(to, frame);
@@ -116,7 +116,7 @@
             }};
 }
 
-variation with_expectation(variation of, std::string value)
+variation with_expectation(const variation& of, std::string value)
 {
     return {of.name + " after 100-continue",
             [apply = of.apply, value = std::move(value)](draft& to, const form_frame& frame) {
