--- a/src/azureshore/http1/message_reader.cpp
+++ b/src/azureshore/http1/message_reader.cpp
@@ -9,7 +9,16 @@
 namespace {
 
 constexpr int first_final_status = 200;
-constexpr std::size_t max_fields = 200;
+// The empty line that ends a header.
+constexpr std::size_t header_end_bytes = 2;
+
+// Whether a character may stand in a token (RFC 9110, section 5.6.2).
+bool is_token_character(char letter)
+{
+    return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') ||
+           (letter >= '0' && letter <= '9') ||
+           std::string_view("!#$%&'*+-.^_`|~").find(letter) != std::string_view::npos;
+}
 
 } // namespace
 
@@ -28,8 +37,7 @@
                 continue;
             }
             this->started = true;
-            used += http_parser_execute(&this->engine, &settings(), part.data(), part.size());
-            this->check();
+            used += this->head_done ? this->execute(part) : this->execute_header(part);
         }
         return used;
     }
@@ -51,6 +59,9 @@
         this->started = false;
         this->head_done = false;
         this->header_bytes = 0;
+        this->trailer_bytes = 0;
+        this->method.clear();
+        this->method_done = this->kind == message_kind::response;
         this->target.clear();
         this->fields.clear();
         this->body.clear();
@@ -66,6 +77,9 @@
     bool no_body = false;
     bool in_value = false;
     std::size_t header_bytes = 0;
+    std::size_t trailer_bytes = 0;
+    std::string method;
+    bool method_done = false;
     std::string target;
     std::vector<net::field> fields;
     std::string body;
@@ -90,10 +104,8 @@
         http_parser_settings made;
         http_parser_settings_init(&made);
         made.on_url = [](http_parser* from, const char* at, std::size_t length) {
-            return self(from).add_header(self(from).target, at, length);
-        };
-        made.on_status = [](http_parser* from, const char*, std::size_t length) {
-            return self(from).count(length);
+            self(from).target.append(at, length);
+            return 0;
         };
         made.on_header_field = [](http_parser* from, const char* at, std::size_t length) {
             return self(from).add_name(at, length);
@@ -113,55 +125,114 @@
         return made;
     }
 
-    int count(std::size_t length)
+    std::size_t execute(std::string_view part)
     {
-        this->header_bytes += length;
-        if (this->header_bytes > this->limits.max_header_bytes ||
-            this->fields.size() > max_fields) {
+        const auto used = http_parser_execute(&this->engine, &settings(), part.data(), part.size());
+        this->check();
+        return used;
+    }
+
+    // Hands the parser no more than the header may still have, so that its limit holds for the
+    // bytes on the wire, however they are cut.
+    std::size_t execute_header(std::string_view part)
+    {
+        const auto allowed = this->limits.max_header_bytes + header_end_bytes;
+        if (this->header_bytes >= allowed) {
             this->now = read_state::header_too_large;
-            return 1;
+            return 0;
         }
-        return 0;
+        const auto most = std::min<std::size_t>(allowed - this->header_bytes, HTTP_MAX_HEADER_SIZE);
+        // The parser's own count would end a header at a limit of its own.
+        this->engine.nread = 0;
+        const auto used = this->method_done ? this->execute_spaced(part.substr(0, most))
+                                            : this->execute_method(part.substr(0, most));
+        if (!this->head_done) {
+            this->header_bytes += used;
+            if (this->header_bytes >= allowed && this->now == read_state::need_more) {
+                this->now = read_state::header_too_large;
+            }
+        }
+        return used;
     }
 
-    int add_header(std::string& to, const char* at, std::size_t length)
+    // The parser knows few methods, but any token is one (RFC 9110, section 9.1). None of them but
+    // CONNECT changes how a request is read, so the parser gets one that it knows.
+    std::size_t execute_method(std::string_view part)
     {
-        to.append(at, length);
-        return this->count(length);
+        const auto* const end = std::find_if_not(part.begin(), part.end(), is_token_character);
+        const auto length = static_cast<std::size_t>(end - part.begin());
+        this->method.append(part.substr(0, length));
+        if (end == part.end()) {
+            return length;
+        }
+        if (*end != ' ' || this->method.empty() || this->method == "CONNECT") {
+            this->now = read_state::malformed;
+            return length;
+        }
+        this->method_done = true;
+        this->execute("POST ");
+        return length + 1;
+    }
+
+    // The parser knows no white space but spaces after the values that frame a body; a tab means
+    // the same there.
+    std::size_t execute_spaced(std::string_view part)
+    {
+        if (part.front() == '\t' && this->in_framing_field()) {
+            return this->execute(" ");
+        }
+        const auto tab = part.find('\t', 1);
+        return this->execute(part.substr(0, tab));
+    }
+
+    [[nodiscard]] bool in_framing_field() const
+    {
+        return !this->fields.empty() &&
+               (net::same_name(this->fields.back().name, "Content-Length") ||
+                net::same_name(this->fields.back().name, "Transfer-Encoding"));
     }
 
     int add_name(const char* at, std::size_t length)
     {
         if (this->head_done) {
-            return this->count(length);
+            return this->drop_trailer(length);
         }
         if (this->in_value || this->fields.empty()) {
             this->fields.emplace_back();
             this->in_value = false;
         }
-        // Four more for the colon, the space and the line's end.
-        this->header_bytes += 4;
-        return this->add_header(this->fields.back().name, at, length);
+        this->fields.back().name.append(at, length);
+        return 0;
     }
 
-    // Trailers after a chunked body are dropped: they must not pass for fields of the header.
     int add_value(const char* at, std::size_t length)
     {
         if (this->head_done) {
-            return this->count(length);
+            return this->drop_trailer(length);
         }
         this->in_value = true;
-        return this->add_header(this->fields.back().value, at, length);
+        this->fields.back().value.append(at, length);
+        return 0;
+    }
+
+    // Trailers after a chunked body are dropped: they must not pass for fields of the header.
+    int drop_trailer(std::size_t length)
+    {
+        this->trailer_bytes += length;
+        if (this->trailer_bytes > this->limits.max_header_bytes) {
+            this->now = read_state::header_too_large;
+            return 1;
+        }
+        return 0;
     }
 
     int header_ended()
     {
         this->head_done = true;
-        const bool tunnel =
-            this->kind == message_kind::request && this->engine.method == HTTP_CONNECT;
+        this->trim_values();
         // An offer to upgrade is declined by going on with this protocol.
         this->engine.upgrade = 0;
-        if (tunnel || this->has_spaced_name() ||
+        if (this->has_spaced_name() ||
             (this->kind == message_kind::request && !this->framed_safely())) {
             this->now = read_state::malformed;
             return -1;
@@ -174,6 +245,14 @@
         return this->no_body ? 1 : 0;
     }
 
+    // White space after a value is no part of it (RFC 9112, section 5.1).
+    void trim_values()
+    {
+        for (auto& each : this->fields) {
+            each.value = std::string(net::trimmed(each.value));
+        }
+    }
+
     // A space before the colon: readers differ in whether it belongs to the name.
     [[nodiscard]] bool has_spaced_name() const
     {
@@ -190,7 +269,7 @@
         bool sized = false;
         for (const auto& each : this->fields) {
             if (net::same_name(each.name, "Transfer-Encoding")) {
-                if (chunked || !net::same_name(net::trimmed(each.value), "chunked")) {
+                if (chunked || !net::same_name(each.value, "chunked")) {
                     return false;
                 }
                 chunked = true;
@@ -281,7 +360,7 @@
 {
     auto& from = *this->inner;
     request taken;
-    taken.method = http_method_str(static_cast<http_method>(from.engine.method));
+    taken.method = std::move(from.method);
     taken.target = std::move(from.target);
     taken.fields = std::move(from.fields);
     taken.body = std::move(from.body);
--- a/src/azureshore/http1/message_reader.hpp
+++ b/src/azureshore/http1/message_reader.hpp
@@ -19,7 +19,8 @@
 };
 
 struct reader_limits {
-    // Most bytes of the start line and the header fields together.
+    // Most bytes of the start line and the header fields on the wire, without the empty line that
+    // ends them.
     std::size_t max_header_bytes = 16UL * 1024UL;
     std::size_t max_body_bytes = 1024UL * 1024UL;
 };
@@ -58,7 +59,7 @@
     request take_request();
     response take_response();
 
-    // Limits for the messages to come.
+    // Limits for the rest of the message under way and for those to come.
     void set_limits(reader_limits limits);
 
     // Before a response is read: whether it answers a HEAD request and so has no body.
--- a/tests/http1/message_reader_tests.cpp
+++ b/tests/http1/message_reader_tests.cpp
@@ -35,6 +35,18 @@
     {"two codings in two fields", "POST / HTTP/1.1\r\nTransfer-Encoding: "
                                   "chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
     {"a space before the colon", "GET / HTTP/1.1\r\nHost : a\r\n\r\n"},
+    {"no method", " / HTTP/1.1\r\nHost: a\r\n\r\n"},
+    {"a method alone", "GET\r\nHost: a\r\n\r\n"},
+    {"a method that is no token", "GE(T / HTTP/1.1\r\nHost: a\r\n\r\n"},
+    {"a method with a byte that is no text", "G\x80T / HTTP/1.1\r\nHost: a\r\n\r\n"},
+    {"a tab after the method", "GET\t/ HTTP/1.1\r\nHost: a\r\n\r\n"},
+    {"a tab before the colon", "POST / HTTP/1.1\r\nContent-Length\t: 3\r\n\r\nabc"},
+    {"a tab inside a length", "POST / HTTP/1.1\r\nContent-Length: 1\t3\r\n\r\nabc"},
+    {"a tab inside a coding", "POST / HTTP/1.1\r\nTransfer-Encoding: chun\tked\r\n\r\n0\r\n\r\n"},
+    {"a coding after a tab",
+     "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\tgzip\r\n\r\n0\r\n\r\n"},
+    {"a length that goes on in the next line",
+     "POST / HTTP/1.1\r\nContent-Length: 1\r\n\t3\r\n\r\nabc"},
     {"a tunnel", "CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n"},
     {"a chunk size that is no number",
      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"},
@@ -172,6 +184,42 @@
     }
 }
 
+// Guards against a target that is a whole URI and keeps its host, or a Host that outranks it.
+BOOST_AUTO_TEST_CASE(a_target_that_is_a_whole_uri_becomes_its_path_and_its_host)
+{
+    struct example {
+        std::string method;
+        std::string target;
+        std::string expected_target;
+        std::string expected_host;
+    };
+    for (const auto& each : std::vector<example>{
+             {"GET", "http://a.example/b?c", "/b?c", "a.example"},
+             {"GET", "HTTPS://A.example:8080/b/http://d/", "/b/http://d/", "A.example:8080"},
+             {"GET", "http://a.example", "/", "a.example"},
+             {"GET", "http://a.example?c=/d", "/?c=/d", "a.example"},
+             {"GET", "http://[::1]:80/b", "/b", "[::1]:80"},
+             {"OPTIONS", "http://a.example", "*", "a.example"},
+             {"OPTIONS", "http://a.example/", "/", "a.example"},
+             {"GET", "/b?c=http://d/", "/b?c=http://d/", "other"},
+             {"GET", "//a.example/b", "//a.example/b", "other"},
+             {"GET", "ftp://a.example/b", "ftp://a.example/b", "other"},
+             {"GET", "http:///b", "http:///b", "other"},
+             {"GET", "http://user@a.example/b", "http://user@a.example/b", "other"}}) {
+        request made;
+        made.method = each.method;
+        made.target = each.target;
+        made.fields = {{"X-Own", "1"}, {"hOST", "other"}};
+        use_origin_form(made);
+        BOOST_TEST_CONTEXT(each.method << " " << each.target)
+        {
+            BOOST_TEST(made.target == each.expected_target);
+            BOOST_TEST(net::find_field(made.fields, "Host") == each.expected_host);
+            BOOST_TEST(made.fields.size() == 2U);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(fields_of_one_connection_do_not_go_on)
 {
     const std::vector<net::field> fields{
@@ -182,6 +230,23 @@
     BOOST_TEST(kept[0].name == "X-End");
 }
 
+// Guards against options that are missed among many, or in another case.
+BOOST_AUTO_TEST_CASE(each_of_many_options_keeps_its_field_from_going_on)
+{
+    std::vector<net::field> fields;
+    std::string options;
+    for (int i = 0; i < 500; ++i) {
+        options += (i % 2 == 0 ? "x-hop-" : ",, X-HOP-") + std::to_string(i) + " ,";
+        fields.push_back({"X-Hop-" + std::to_string(i), "1"});
+        fields.push_back({"X-End-" + std::to_string(i), "1"});
+    }
+    fields.push_back({"connection", options});
+    const auto kept = end_to_end(fields);
+    BOOST_TEST(kept.size() == 500U);
+    BOOST_TEST(std::all_of(kept.begin(), kept.end(),
+                           [](const net::field& each) { return each.name.starts_with("X-End-"); }));
+}
+
 BOOST_AUTO_TEST_CASE(a_written_answer_to_head_names_a_length_and_has_no_body)
 {
     response answer;
