Never signal by the pid of a process that has ended

A child process that has been waited for has the pid -1, and a signal to that names every process of the user. No caller does this today; a test that stops a gateway twice could.

--- a/tests/processes/child_process.cpp
+++ b/tests/processes/child_process.cpp
@@ -119,7 +119,10 @@
 
 void child_process::signal(int number) const
 {
-    kill(this->pid, number);
+    // A pid of -1 would name every process of this user.
+    if (this->pid > 0) {
+        kill(this->pid, number);
+    }
 }
 
 std::chrono::milliseconds child_process::processor_time() const
