Restore the store from a backup in the soak, and let faults overlap

Faults left gateways alone that were paused or stopping, and callers changed their connection with almost every request, so that few were open when a gateway was told to stop.

Change: a fault that takes a backup, lets the store go away 0.5 to 9 s later for up to 2 s, silent or with 503, and come back restored; lost records are written again within 500 ms, and registrations of servers that are gone are dropped again. Signals, restarts and configurations come in series; pauses, kills, reloads and a second SIGTERM reach gateways that are stopping; time in which a gateway was paused does not count for its stop. Callers keep a connection to each gateway until it closes it or is gone. A 404 for a route that every configuration has is blamed. Gateways are checked for recovery at the same time, each within the bound, as 40 in turn could not be.

--- a/tests/soak/soak_tests.cpp
+++ b/tests/soak/soak_tests.cpp
@@ -11,6 +11,7 @@
 #include <atomic>
 #include <cstdlib>
 #include <thread>
+#include <vector>
 
 using namespace azureshore;
 using namespace azureshore::testing;
@@ -40,10 +41,25 @@
     return least + static_cast<unsigned>(seed % choices);
 }
 
+// Every tenth seed has many gateways, the others few, so that each has more faults.
+deployment_plan plan_of(std::uint64_t seed, const std::string& folder)
+{
+    if (seed % 10 == 0) {
+        return {40, 10, slots_of(seed), milliseconds(30), folder};
+    }
+    return {3, 4, slots_of(seed), milliseconds(30), folder};
+}
+
+// Whether every configuration of a run has the route that this target belongs to.
+bool always_routed(const std::string& target)
+{
+    return target.starts_with("/plates/") || target.starts_with("/orders/");
+}
+
 class soak_run {
 public:
     soak_run(std::uint64_t run_seed, const std::string& folder)
-        : seed(run_seed), place({3, 4, slots_of(run_seed), milliseconds(30), folder}, this->watch),
+        : seed(run_seed), place(plan_of(run_seed, folder), this->watch),
           faults(run_seed, this->place, this->watch)
     {
     }
@@ -61,6 +77,10 @@
         this->faults.run(span);
         this->faults.calm();
         this->check_recovery();
+        // Offsets that gateways know from before a restore must not hide what is written after it.
+        if (this->seed % 2 == 1) {
+            this->faults.lose_configurations();
+        }
         this->faults.pass(settle_time);
         this->check_planned_work();
         this->ended = true;
@@ -77,10 +97,12 @@
     void call_all_the_time(std::size_t number)
     {
         auto random = seeded_random(this->seed * caller_threads + number);
-        caller self;
+        // A connection to each gateway, kept until the gateway closes it or its process is gone.
+        std::vector<caller> connections(this->place.gateways.size());
         for (std::size_t sent = 0; !this->ended; ++sent) {
-            const auto& vm =
-                this->place.gateways[uniform_index(random, this->place.gateways.size())];
+            const auto to = uniform_index(random, this->place.gateways.size());
+            const auto& vm = this->place.gateways[to];
+            auto& self = connections[to];
             const bool idempotent = uniform(random) < 0.6;
             const auto id = std::to_string(number) + '-' + std::to_string(sent);
             const auto deadline = milliseconds(300 + static_cast<int>(uniform_index(random, 1500)));
@@ -88,7 +110,7 @@
                 self, vm,
                 make_request(id, (idempotent ? "/plates/" : "/orders/") + id, idempotent, deadline),
                 deadline);
-            if (uniform(random) < 0.3) {
+            if (uniform(random) < 0.1) {
                 self.hang_up();
             }
             std::this_thread::sleep_for(milliseconds(uniform_index(random, 15)));
@@ -105,6 +127,9 @@
         if (answer) {
             const bool is_signed = !net::find_field(answer->fields, "X-Server-Signature").empty();
             this->watch.answered(id, answer->status, is_signed, answer->body);
+            if (answer->status == status_not_found && always_routed(request.target)) {
+                this->watch.blame(id + " got 404 from " + vm.name + " for a route in force");
+            }
             return answer->status;
         }
         const bool waited = steady_now() - began >= deadline + answer_slack;
@@ -124,20 +149,34 @@
     void check_recovery()
     {
         const auto until = steady_now() + recovery_bound;
-        constexpr int wanted = 30;
+        std::atomic<std::size_t> asking = this->place.gateways.size();
+        std::vector<std::thread> checks_of_each;
         for (const auto& vm : this->place.gateways) {
-            int served = 0;
-            while (served < wanted && steady_now() < until) {
-                // One that is refused says that there is no room, and not that anything is broken.
-                const auto status = this->ask_once(vm, "/plates/");
-                served = status == status_ok           ? served + 1
-                         : status == status_overloaded ? served
-                                                       : 0;
-                this->faults.pass(milliseconds(1));
-            }
-            if (served < wanted) {
-                this->watch.blame(vm.name + " does not serve again after the faults");
-            }
+            checks_of_each.emplace_back([&] {
+                this->check_recovery_of(vm, until);
+                --asking;
+            });
+        }
+        while (asking > 0) {
+            this->faults.pass(milliseconds(20));
+        }
+        for (auto& each : checks_of_each) {
+            each.join();
+        }
+    }
+
+    void check_recovery_of(const gateway_vm& vm, time_point until)
+    {
+        constexpr int wanted = 30;
+        int served = 0;
+        while (served < wanted && steady_now() < until) {
+            // One that is refused says that there is no room, and not that anything is broken.
+            const auto status = this->ask_once(vm, "/plates/");
+            served = status == status_ok ? served + 1 : status == status_overloaded ? served : 0;
+            std::this_thread::sleep_for(milliseconds(20));
+        }
+        if (served < wanted) {
+            this->watch.blame(vm.name + " does not serve again after the faults");
         }
     }
 
@@ -180,7 +219,7 @@
     local_deployment place;
     trouble faults;
     std::atomic<bool> ended{false};
-    std::size_t checks = 0;
+    std::atomic<std::size_t> checks{0};
 };
 
 } // namespace
--- a/tests/soak/trouble.cpp
+++ b/tests/soak/trouble.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <utility>
 
 namespace azureshore::testing {
 
@@ -93,7 +94,12 @@
 {
     const auto until = steady_now() + span;
     while (steady_now() < until) {
-        this->draw();
+        // Now and then faults come in a series, each before the last one has had its effect.
+        const auto in_series = uniform(this->random) < 0.2 ? 2 + uniform_index(this->random, 4) : 1;
+        for (std::size_t i = 0; i < in_series; ++i) {
+            this->draw();
+            this->pass(this->between(0, 60));
+        }
         this->pass(this->between(50, 900));
     }
 }
@@ -115,9 +121,9 @@
 
 void trouble::draw()
 {
-    constexpr std::size_t gateway_kinds = 7;
+    constexpr std::size_t gateway_kinds = 9;
     constexpr std::size_t backend_kinds = 8;
-    constexpr std::size_t store_kinds = 8;
+    constexpr std::size_t store_kinds = 13;
     const auto kind = uniform_index(this->random, gateway_kinds + backend_kinds + store_kinds);
     auto& vm = this->place.gateways[uniform_index(this->random, this->place.gateways.size())];
     auto& backend = *this->place.backends[uniform_index(this->random, this->place.backends.size())];
@@ -134,22 +140,13 @@
 
 void trouble::draw_at_gateway(std::size_t kind, gateway_vm& vm)
 {
-    if (!vm.process || this->stopping[vm.name] || this->paused[vm.name]) {
+    if (!vm.process) {
         return;
     }
     const auto span = this->between(100, 2000);
     switch (kind) {
     case 0:
-        this->note(vm.name + " paused");
-        this->disturb(vm.name, span);
-        this->paused[vm.name] = true;
-        vm.process->signal(SIGSTOP);
-        this->later(span, [this, &vm] {
-            this->paused[vm.name] = false;
-            if (vm.process) {
-                vm.process->signal(SIGCONT);
-            }
-        });
+        this->pause(vm, span);
         break;
     case 1:
         this->kill(vm, span);
@@ -158,51 +155,99 @@
         this->stop_and_start(vm);
         break;
     case 3:
-        this->note(vm.name + " reload");
-        this->place.write_settings(vm, 10.0 + static_cast<double>(uniform_index(this->random, 50)));
-        if (uniform(this->random) < 0.5) {
-            vm.process->signal(SIGHUP);
-        }
+        this->reload(vm);
+        break;
+    case 4:
+        this->signal_in_series(vm);
+        break;
+    case 5:
+        this->restart_in_series(vm);
         break;
     default: {
         constexpr std::array<link_state, 3> states{link_state::silent, link_state::answers_held,
                                                    link_state::resetting};
         this->note(vm.name + " link to the store " + std::to_string(kind));
         this->disturb(vm.name, span);
-        vm.to_store->set(states[kind - 4]);
+        vm.to_store->set(states[kind - 6]);
         this->later(span, [&vm] { vm.to_store->set(link_state::passing); });
     }
     }
 }
 
+void trouble::pause(gateway_vm& vm, duration span)
+{
+    if (this->paused[vm.name]) {
+        return;
+    }
+    this->note(vm.name + " paused");
+    this->disturb(vm.name, span);
+    this->paused[vm.name] = true;
+    vm.process->signal(SIGSTOP);
+    this->later(span, [this, &vm, pause = ++this->pauses[vm.name]] {
+        if (vm.process && this->pauses[vm.name] == pause) {
+            this->paused[vm.name] = false;
+            vm.process->signal(SIGCONT);
+        }
+    });
+}
+
+void trouble::reload(gateway_vm& vm)
+{
+    this->note(vm.name + " reload");
+    this->place.write_settings(vm, 10.0 + static_cast<double>(uniform_index(this->random, 50)));
+    if (uniform(this->random) < 0.5) {
+        vm.process->signal(SIGHUP);
+    }
+}
+
 void trouble::kill(gateway_vm& vm, duration away)
 {
     this->note(vm.name + " killed");
     this->disturb(vm.name, away + seconds(2));
     vm.process.reset();
+    this->stopping[vm.name] = false;
+    ++this->stops[vm.name];
+    this->paused[vm.name] = false;
+    ++this->pauses[vm.name];
     this->later(away, [this, &vm] { this->place.start(vm); });
 }
 
 void trouble::stop_and_start(gateway_vm& vm)
 {
     this->note(vm.name + " told to stop");
-    this->stopping[vm.name] = true;
     this->disturb(vm.name, stop_within + seconds(2));
     vm.process->signal(SIGTERM);
-    this->later(stop_within + milliseconds(500), [this, &vm, stop = ++this->stops[vm.name]] {
-        const bool still = this->stopping[vm.name] && this->stops[vm.name] == stop;
-        if (still && vm.process && !this->paused[vm.name]) {
-            this->watch.blame(vm.name + " did not stop in time");
+    // One that is stopping is told once more, and has no more time for it.
+    if (!std::exchange(this->stopping[vm.name], true)) {
+        const auto stop = ++this->stops[vm.name];
+        this->expect_end(vm, stop);
+        this->await_end(vm, stop);
+    }
+}
+
+void trouble::expect_end(gateway_vm& vm, std::size_t stop)
+{
+    const auto before = this->paused[vm.name] ? 0 : this->pauses[vm.name];
+    this->later(stop_within + milliseconds(500), [this, &vm, stop, before] {
+        if (!this->stopping[vm.name] || this->stops[vm.name] != stop) {
+            return;
         }
+        if (this->paused[vm.name] || this->pauses[vm.name] != before) {
+            this->expect_end(vm, stop);
+            return;
+        }
+        this->watch.blame(vm.name + " did not stop in time");
     });
-    this->await_end(vm);
 }
 
-void trouble::await_end(gateway_vm& vm)
+void trouble::await_end(gateway_vm& vm, std::size_t stop)
 {
-    const auto status = vm.process ? vm.process->ended() : std::nullopt;
+    if (this->stops[vm.name] != stop) {
+        return;
+    }
+    const auto status = vm.process->ended();
     if (!status) {
-        this->later(step, [this, &vm] { this->await_end(vm); });
+        this->later(step, [this, &vm, stop] { this->await_end(vm, stop); });
         return;
     }
     if (*status != status_stopped) {
@@ -212,6 +257,47 @@
     this->place.start(vm);
 }
 
+void trouble::signal_in_series(gateway_vm& vm)
+{
+    this->note(vm.name + " signals in series");
+    duration at{};
+    const auto signals = 2 + uniform_index(this->random, 5);
+    for (std::size_t i = 0; i < signals; ++i) {
+        at += this->between(0, 80);
+        this->later(at, [this, &vm, kind = uniform_index(this->random, 4)] {
+            if (!vm.process) {
+                return;
+            }
+            if (kind == 0) {
+                this->pause(vm, this->between(0, 50));
+            }
+            else if (kind == 1) {
+                this->stop_and_start(vm);
+            }
+            else {
+                this->reload(vm);
+            }
+        });
+    }
+}
+
+// Starts that are cut short by the next kill.
+void trouble::restart_in_series(gateway_vm& vm)
+{
+    this->note(vm.name + " restarts in series");
+    this->kill(vm, this->between(0, 200));
+    duration at{};
+    const auto kills = 1 + uniform_index(this->random, 3);
+    for (std::size_t i = 0; i < kills; ++i) {
+        at += this->between(50, 500);
+        this->later(at, [this, &vm] {
+            if (vm.process) {
+                this->kill(vm, this->between(0, 200));
+            }
+        });
+    }
+}
+
 void trouble::draw_at_backend(std::size_t kind, local_backend& backend)
 {
     const auto span = this->between(100, 2000);
@@ -220,8 +306,7 @@
     case 0: {
         this->note(name + " crashes");
         backend.crash(this->next_instance(), span, seconds(3));
-        this->later(silence_limit,
-                    [this, name] { this->place.store.put("keyed.servers", name, std::nullopt); });
+        this->later(silence_limit, [this, name] { this->drop_registration(name); });
         break;
     }
     case 1:
@@ -240,7 +325,7 @@
         this->later(milliseconds(2500), [this, &backend, name] {
             if (backend.id() == name) {
                 backend.crash(this->next_instance(), milliseconds(300), seconds(2));
-                this->place.store.put("keyed.servers", name, std::nullopt);
+                this->drop_registration(name);
             }
         });
         break;
@@ -254,6 +339,63 @@
     }
 }
 
+void trouble::drop_registration(const std::string& id)
+{
+    this->dropped.insert(id);
+    this->place.store.put("keyed.servers", id, std::nullopt);
+}
+
+void trouble::configure_in_series()
+{
+    duration at{};
+    const auto changes = 2 + uniform_index(this->random, 4);
+    for (std::size_t i = 0; i < changes; ++i) {
+        this->later(at, [this] {
+            this->note("configuration");
+            this->extra_route = !this->extra_route;
+            this->place.configure(this->extra_route);
+        });
+        at += this->between(0, 150);
+    }
+}
+
+void trouble::restore_store()
+{
+    const auto away = this->between(0, 2000);
+    standin::store_faults faults;
+    faults.silent = uniform(this->random) < 0.5;
+    faults.outage = !faults.silent;
+    this->note(faults.silent ? "store away, silent" : "store away");
+    this->disturb_all(away);
+    this->place.store.set_faults(faults);
+    this->later(away, [this] {
+        this->note("store restored");
+        this->place.store.restore_backup();
+        this->place.store.set_faults({});
+        this->later(this->between(0, 500), [this] {
+            this->note("written again");
+            this->place.write_operators_records_again();
+            this->place.heartbeat();
+        });
+        // Registrations that are back from the backup are dropped again, as silent ones are.
+        this->later(silence_limit, [this] {
+            for (const auto& each : this->dropped) {
+                this->place.store.put("keyed.servers", each, std::nullopt);
+            }
+        });
+    });
+}
+
+void trouble::lose_configurations()
+{
+    this->place.store.take_backup();
+    this->configure_in_series();
+    this->configure_in_series();
+    this->pass(seconds(2));
+    this->restore_store();
+    this->calm();
+}
+
 void trouble::set_store_faults(const standin::store_faults& now, duration span)
 {
     this->place.store.set_faults(now);
@@ -295,14 +437,25 @@
         this->place.store.compact("keyed.op");
         this->place.store.compact("keyed.servers");
         return;
-    default:
+    case 7:
+        this->configure_in_series();
+        return;
+    case 8:
         this->note("all gateways killed");
         for (auto& each : this->place.gateways) {
-            if (each.process && !this->stopping[each.name] && !this->paused[each.name]) {
+            if (each.process) {
                 this->kill(each, span);
             }
         }
         return;
+    default:
+        this->note("backup of the store");
+        this->place.store.take_backup();
+        if (uniform(this->random) < 0.5) {
+            this->configure_in_series();
+        }
+        this->later(this->between(500, 9000), [this] { this->restore_store(); });
+        return;
     }
     this->note("store fault " + std::to_string(kind));
     this->disturb_all(span);
--- a/tests/soak/trouble.hpp
+++ b/tests/soak/trouble.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 
 namespace azureshore::testing {
@@ -19,6 +20,9 @@
     // Draws faults for this long.
     void run(duration span);
 
+    // Lets the store lose the last configurations, and waits until they are written again.
+    void lose_configurations();
+
     // Ends every fault, and waits until every gateway runs and is ready.
     void calm();
 
@@ -38,9 +42,19 @@
     void draw_at_gateway(std::size_t kind, gateway_vm& vm);
     void draw_at_backend(std::size_t kind, local_backend& backend);
     void draw_at_store(std::size_t kind);
+    void pause(gateway_vm& vm, duration span);
+    void reload(gateway_vm& vm);
     void stop_and_start(gateway_vm& vm);
     void kill(gateway_vm& vm, duration away);
-    void await_end(gateway_vm& vm);
+    void await_end(gateway_vm& vm, std::size_t stop);
+    // Blames a gateway that has not ended in time. Time in which it was paused does not count.
+    void expect_end(gateway_vm& vm, std::size_t stop);
+    void signal_in_series(gateway_vm& vm);
+    void restart_in_series(gateway_vm& vm);
+    void configure_in_series();
+    // The store is away for a while and comes back as it was at its last backup.
+    void restore_store();
+    void drop_registration(const std::string& id);
     void check_running();
     void note(const std::string& what);
     void disturb(const std::string& name, duration span);
@@ -57,8 +71,12 @@
     time_point began;
     std::multimap<time_point, action> due;
     std::map<std::string, bool> stopping;
+    // How often each was told to stop, or was killed instead.
     std::map<std::string, std::size_t> stops;
     std::map<std::string, bool> paused;
+    std::map<std::string, std::size_t> pauses;
+    // Backend servers that the store has dropped.
+    std::set<std::string> dropped;
     bool extra_route = false;
     std::size_t last_instance = 0;
     std::string told;
