Keep the time limit of a probe from ending the attempt after it

Cause: an attempt follows its probe on the same connection and has no limit of its own, so the probe's timer was cancelled. When the process was paused until both the probe's answer and its limit of 250 ms had come, the timer's handler was queued already, cancelling had no effect, and the handler found the old limit passed: the attempt ended at once as timed out, a request that may not be repeated with 502.

Change: an attempt without a limit sets the timer's expiry beyond all time, which the handler checks.

Red before, three of three runs: the_time_limit_of_a_probe_never_ends_the_attempt_after_it: check head_of_answer(caller).starts_with("HTTP/1.1 200 ") has failed Green after, three of three.

--- a/src/azureshore/gateway/internal/backend_connection.cpp
+++ b/src/azureshore/gateway/internal/backend_connection.cpp
@@ -67,7 +67,8 @@
         this->set_timer(this->current->timeout);
     }
     else {
-        this->timer.cancel();
+        // Beyond cancelling: the handler of an earlier limit may already be queued.
+        this->timer.expires_at(asio::steady_timer::time_point::max());
     }
     asio::async_write(
         this->socket, asio::buffer(this->current->bytes),
--- a/tests/gateway/gateway_tests.cpp
+++ b/tests/gateway/gateway_tests.cpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <future>
 #include <mutex>
+#include <thread>
 
 using namespace azureshore;
 using namespace azureshore::test;
@@ -350,6 +351,37 @@
     BOOST_TEST(field_of(answer, "Signature") == "s");
 }
 
+// Guards against an attempt that is ended by the time limit of the probe before it, when the
+// gateway's process was paused until both the probe's answer and its limit had come.
+BOOST_AUTO_TEST_CASE(the_time_limit_of_a_probe_never_ends_the_attempt_after_it)
+{
+    std::promise<void> probed;
+    std::promise<void> paused;
+    const raw_server backend([&](raw_connection& connection, int) {
+        while (const auto request = connection.read_request()) {
+            if (request->starts_with("GET /health ")) {
+                probed.set_value();
+                paused.get_future().wait();
+                connection.send(
+                    "HTTP/1.1 200 OK\r\nInstance: plate-1\r\nContent-Length: 0\r\n\r\n");
+                continue;
+            }
+            connection.send(answer_to(*request, "ok"));
+        }
+    });
+    running_gateway gateway;
+    gateway.add_backend("plate-1", backend);
+    raw_client caller(gateway.port());
+    caller.send(request_text("POST /orders/1", "r-1", "", "x"));
+    probed.get_future().wait();
+    gateway.run([&paused](const gateway::http_gateway&) {
+        paused.set_value();
+        // Longer than a probe may take.
+        std::this_thread::sleep_for(400ms);
+    });
+    BOOST_TEST(head_of_answer(caller).starts_with("HTTP/1.1 200 "));
+}
+
 BOOST_AUTO_TEST_CASE(what_callers_may_not_send_is_refused_with_its_own_status)
 {
     one_backend of(answer_ok);
