Let a gateway that starts prefer the backend server that must get nothing

The two cases of a gateway that starts with a restored store and a backend server that drains or is gone could not fail: the backend server was in the other data centre than the gateway, which then sends it nothing anyhow.

Change: it is in the gateway's data centre, and the cases require that.

--- a/tests/soak/gateway_process_tests.cpp
+++ b/tests/soak/gateway_process_tests.cpp
@@ -447,7 +447,9 @@
 BOOST_AUTO_TEST_CASE(a_gateway_that_starts_with_a_restored_store_sends_nothing_to_one_that_drains)
 {
     settled_deployment of(3);
-    auto& leaving = *of.place.backends.front();
+    // In the data centre of the gateway that starts, which prefers it.
+    auto& leaving = *of.place.backends.back();
+    BOOST_REQUIRE(leaving.data_centre() == of.place.gateways.back().data_centre);
     of.place.store.take_backup();
     leaving.drain();
     of.place.heartbeat();
@@ -464,7 +466,9 @@
 BOOST_AUTO_TEST_CASE(a_gateway_that_starts_with_a_restored_store_sends_nothing_to_one_that_is_gone)
 {
     settled_deployment of(3);
-    auto& leaving = *of.place.backends.front();
+    // In the data centre of the gateway that starts, which prefers it.
+    auto& leaving = *of.place.backends.back();
+    BOOST_REQUIRE(leaving.data_centre() == of.place.gateways.back().data_centre);
     of.place.store.take_backup();
     leaving.stop_registering();
     of.place.store.put("keyed.servers", leaving.id(), std::nullopt);
