Take newer operators' records from others at a start after a restore

A gateway that starts right after the store's return, and reads it before another gateway answers, served by an older configuration, 404 for a route in force included, until the operators had written theirs again.

--- a/src/azureshore/daemon/internal/gateway_store.cpp
+++ b/src/azureshore/daemon/internal/gateway_store.cpp
@@ -144,6 +144,9 @@
                                          const std::vector<platform::keyed_record>& records) {
         return this->restored(topic, records);
     };
+    made.take_earlier_record = [this](wire::shared_topic, const platform::keyed_record& record) {
+        return this->take_earlier_operator_record(record);
+    };
     made.apply_record = [this](wire::shared_topic topic, const platform::keyed_record& record) {
         return this->changed(topic, record);
     };
@@ -250,13 +253,37 @@
     }
     for (const auto& each : this->out_of_service) {
         if (!listed.contains(each)) {
-            this->unconfirmed.insert_or_assign(each, steady_now() + rewrite_grace);
-            this->hooks.log({"data_centre_unconfirmed", {{"data_centre", each.value}}});
+            this->keep_unconfirmed(each);
         }
     }
     return outdated;
 }
 
+bool gateway_store::take_earlier_operator_record(const platform::keyed_record& record)
+{
+    auto read = this->platform.read_operator_record(record);
+    if (!read.ok()) {
+        return false;
+    }
+    if (const auto* next = std::get_if<balance::traffic_configuration>(&*read);
+        next != nullptr && this->version < next->version) {
+        this->take_operator_record(record, std::move(read));
+        return true;
+    }
+    const auto* change = std::get_if<data_centre_service>(&*read);
+    if (change != nullptr && !change->in_service && !this->out_of_service.contains(change->name)) {
+        this->set_in_service(*change);
+        this->keep_unconfirmed(change->name);
+    }
+    return false;
+}
+
+void gateway_store::keep_unconfirmed(const data_centre_id& name)
+{
+    this->unconfirmed.insert_or_assign(name, steady_now() + rewrite_grace);
+    this->hooks.log({"data_centre_unconfirmed", {{"data_centre", name.value}}});
+}
+
 void gateway_store::take_operator_record(const platform::keyed_record& record,
                                          absl::StatusOr<operator_record> read)
 {
--- a/src/azureshore/daemon/internal/gateway_store.hpp
+++ b/src/azureshore/daemon/internal/gateway_store.hpp
@@ -60,6 +60,8 @@
     std::set<std::string> restored(wire::shared_topic topic,
                                    const std::vector<platform::keyed_record>& records);
     bool changed(wire::shared_topic topic, const platform::keyed_record& record);
+    bool take_earlier_operator_record(const platform::keyed_record& record);
+    void keep_unconfirmed(const data_centre_id& name);
     void take_operator_record(const platform::keyed_record& record,
                               absl::StatusOr<operator_record> read);
     void take_all_operator_records(const std::vector<platform::keyed_record>& records);
--- a/src/azureshore/sharing/internal/joining.cpp
+++ b/src/azureshore/sharing/internal/joining.cpp
@@ -33,6 +33,9 @@
 constexpr duration snapshot_window = std::chrono::milliseconds(100);
 // Daemons that were served longer ago may have ended, so nobody is redirected to them.
 constexpr duration served_daemons_validity = std::chrono::seconds(1);
+// For this long after its start, a daemon that listed the store itself takes newer records from
+// others that know them from before the store was restored.
+constexpr duration earlier_records_window = std::chrono::seconds(3);
 // Redirects that a daemon follows before it starts over.
 constexpr std::uint32_t max_redirects = 16;
 // Announced daemons that a starting daemon asks for a snapshot.
@@ -106,9 +109,11 @@
 void store_sharing::state::request_snapshot(const address& recipient, std::uint32_t redirects)
 {
     this->next_request_at = this->now() + this->seed_timeout;
+    // A daemon that listed the topics itself may have got older records of a restored store.
     this->hooks.send({recipient},
                      wire::topics_pull{this->known_members.self(), this->topics[0].next,
-                                       this->topics[1].next, !this->topics_listed(), redirects});
+                                       this->topics[1].next,
+                                       !this->topics_listed() || !this->members_listed, redirects});
 }
 
 void store_sharing::state::handle_redirect(const wire::pull_redirect& redirect)
@@ -344,11 +349,33 @@
     return records;
 }
 
+void store_sharing::state::take_earlier_records(topic_state& topic,
+                                                const wire::topic_snapshot& snapshot)
+{
+    const bool just_started = this->now() - this->started_at < earlier_records_window;
+    const bool may_be_newer = snapshot.next.epoch < topic.next.epoch || snapshot.next == topic.next;
+    if (topic.kind != wire::shared_topic::operators || !just_started || !may_be_newer) {
+        return;
+    }
+    for (const auto& each : snapshot.records) {
+        const bool newer =
+            this->hooks.take_earlier_record(topic.kind, {each.offset, each.key, each.value});
+        const auto known = topic.newest_records.find(each.key);
+        if (newer && known != topic.newest_records.end()) {
+            known->second.record.value = each.value;
+        }
+    }
+}
+
 void store_sharing::state::handle_snapshot(const wire::topic_snapshot& snapshot)
 {
     this->peer_answered_at = this->now();
     auto& topic = this->topic_for(snapshot.topic);
-    if (snapshot.parts == 0 || (topic.listed && snapshot.next <= topic.next)) {
+    if (snapshot.parts == 0) {
+        return;
+    }
+    if (topic.listed && snapshot.next <= topic.next) {
+        this->take_earlier_records(topic, snapshot);
         return;
     }
     const auto records = assemble_snapshot(topic, snapshot);
--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -134,6 +134,9 @@
     void broadcast_unsent_snapshots();
     [[nodiscard]] bool may_serve_snapshots() const;
     void handle_snapshot(const wire::topic_snapshot& snapshot);
+    // Takes what others know of the operators' topic from before a restore after which this daemon
+    // started.
+    void take_earlier_records(topic_state& topic, const wire::topic_snapshot& snapshot);
     // Returns all records once every part has come.
     static std::optional<std::vector<platform::keyed_record>>
     assemble_snapshot(topic_state& topic, const wire::topic_snapshot& part);
--- a/src/azureshore/sharing/store_sharing.hpp
+++ b/src/azureshore/sharing/store_sharing.hpp
@@ -45,6 +45,9 @@
     std::function<std::set<std::string>(wire::shared_topic,
                                         const std::vector<platform::keyed_record>&)>
         merge_restored_records;
+    // Takes a record that another daemon knows from before the store was restored, if it is newer
+    // than what this daemon read after its start. Returns whether it was.
+    std::function<bool(wire::shared_topic, const platform::keyed_record&)> take_earlier_record;
     // Applies one record. Returns whether it changes what this daemon knows.
     std::function<bool(wire::shared_topic, const platform::keyed_record&)> apply_record;
     // Reports that neither this daemon nor any other one that it hears from can read the store.
--- a/tests/restored_store/restored_store_tests.cpp
+++ b/tests/restored_store/restored_store_tests.cpp
@@ -188,6 +188,32 @@
     }
 }
 
+// Guards against an older configuration on a daemon that has read the restored store before the
+// others answer it.
+BOOST_AUTO_TEST_CASE(a_seed_that_lists_a_restored_store_first_gets_what_the_others_know_from_before)
+{
+    constexpr std::size_t daemons = 13;
+    constexpr std::size_t seed_daemon = 0;
+    for (const auto started_after : {0ms, 300ms, 2000ms}) {
+        restored_cluster cluster(daemons, 7);
+        cluster.first_start = false;
+        cluster.store.take_backup();
+        cluster.store.put(sharing_cluster::operators, "config", "2");
+        cluster.clock.run_for(apply_bound);
+        cluster.kill(seed_daemon);
+        cluster.store.restore_backup();
+        cluster.clock.run_for(started_after);
+        cluster.disconnected.insert(seed_daemon);
+        cluster.start(seed_daemon);
+        cluster.clock.run_for(20ms);
+        BOOST_TEST(cluster.known_value(seed_daemon, shared_topic::operators, "config") == "1");
+        cluster.disconnected.clear();
+        cluster.clock.run_for(500ms);
+        BOOST_TEST_CONTEXT("started " << started_after.count() << " ms after the restore")
+        cluster.check_known(shared_topic::operators, "config", "2");
+    }
+}
+
 // Guards against a daemon that finds no other one, because the restore lost their announcements and
 // the seeds are away.
 BOOST_AUTO_TEST_CASE(a_daemon_that_starts_after_a_restore_finds_the_others_without_seeds)
--- a/tests/support/sharing_cluster.cpp
+++ b/tests/support/sharing_cluster.cpp
@@ -339,6 +339,15 @@
         }
         return outdated;
     };
+    hooks.take_earlier_record = [owner](wire::shared_topic topic,
+                                        const platform::keyed_record& record) {
+        auto& known = owner.lock()->known_values[static_cast<std::size_t>(topic)][record.key];
+        const bool newer = record.key == "config" && known < record.value.value_or("");
+        if (newer) {
+            known = *record.value;
+        }
+        return newer;
+    };
     hooks.apply_record = [owner](wire::shared_topic topic, const platform::keyed_record& record) {
         auto& values = owner.lock()->known_values[static_cast<std::size_t>(topic)];
         const auto value = record.value.value_or("");
