--- a/tests/deployment/local_deployment.cpp
+++ b/tests/deployment/local_deployment.cpp
@@ -136,6 +136,7 @@
     vm.process.emplace(daemon_program,
                        std::vector<std::string>{"--gateway", "--settings", vm.settings_file},
                        this->folder.file(vm.name + ".log"));
+    vm.started_at = steady_now();
 }
 
 local_backend& local_deployment::add_backend()
--- a/tests/deployment/local_deployment.hpp
+++ b/tests/deployment/local_deployment.hpp
@@ -33,6 +33,8 @@
     std::string settings_file;
     std::unique_ptr<test_support::loopback_proxy> to_store;
     std::optional<child_process> process;
+    // When the process was last started.
+    time_point started_at{};
 };
 
 struct deployment_plan {
