--- a/src/azureshore/sharing/store_sharing.cpp
+++ b/src/azureshore/sharing/store_sharing.cpp
@@ -67,7 +67,7 @@
         this->hooks.replace_records(topic.kind, records);
         return;
     }
-    // Daemons that get a snapshot from this one shall know the newer records too.
+    // Snapshots for other daemons must hold the newer records too.
     for (const auto& key : this->hooks.merge_restored_records(topic.kind, records)) {
         const auto newer = known.find(key);
         if (newer == known.end()) {
--- a/src/azureshore/sharing/store_sharing.hpp
+++ b/src/azureshore/sharing/store_sharing.hpp
@@ -86,11 +86,11 @@
 // reads it in any case.
 //
 // A store that was restored from a backup starts a new epoch. A daemon that finds or hears of a
-// later epoch replaces what it knows of a topic as a whole, and ignores what others know of earlier
-// ones.
+// later epoch takes over each topic as a whole, except for what it knows to be newer, and ignores
+// what others know of earlier epochs.
 //
-// The daemons need not agree on which one is the reader: two readers only
-// cost more calls. All calls must come from one thread.
+// The daemons need not agree on which one is the reader: two readers only cost more calls. All
+// calls must come from one thread.
 class store_sharing {
 public:
     store_sharing(sharing_settings settings, shared_topics topics, sharing_hooks hooks);
