--- a/src/azureshore/sharing/store_sharing.hpp
+++ b/src/azureshore/sharing/store_sharing.hpp
@@ -45,6 +45,9 @@
     std::function<std::set<std::string>(wire::shared_topic,
                                         const std::vector<platform::keyed_record>&)>
         merge_restored_records;
+    // Takes a record that another daemon knows from before the store was restored, if it is newer
+    // than what this daemon read after its start. Returns whether it was.
+    std::function<bool(wire::shared_topic, const platform::keyed_record&)> take_earlier_record;
     // Applies one record. Returns whether it changes what this daemon knows.
     std::function<bool(wire::shared_topic, const platform::keyed_record&)> apply_record;
     // Reports that neither this daemon nor any other one that it hears from can read the store.
@@ -83,11 +86,11 @@
 // reads it in any case.
 //
 // A store that was restored from a backup starts a new epoch. A daemon that finds or hears of a
-// later epoch replaces what it knows of a topic as a whole, and ignores what others know of earlier
-// ones.
+// later epoch takes over each topic as a whole, except for what it knows to be newer, and ignores
+// what others know of earlier epochs.
 //
-// The daemons need not agree on which one is the reader: two readers only
-// cost more calls. All calls must come from one thread.
+// The daemons need not agree on which one is the reader: two readers only cost more calls. All
+// calls must come from one thread.
 class store_sharing {
 public:
     store_sharing(sharing_settings settings, shared_topics topics, sharing_hooks hooks);
