Call the store often enough to find the few gateways that it serves

Cause: in an outage about six daemons at random and four standby readers called the store in each round of 0.4 to 0.6 of the bound, some 20 calls within the bound. If one daemon in ten is served, 20 calls miss all of them with a chance of 12%. The number had been chosen for its price alone. Ruled out: lost news, as all gateways knew the change within 0.2 s from the first call that succeeded.

Now the daemons call as often in an outage as they do just before they take it for one, about 98 times within the bound however large the fleet is, and a small fleet checks more often for that. 88 of these calls miss one daemon in ten with a chance of 1 in 10,000.

The new test in virtual time failed before: 1 of 20 schedules at 60 daemons and 3 of 20 at 300; none fails now.

--- a/src/azureshore/sharing/internal/joining.cpp
+++ b/src/azureshore/sharing/internal/joining.cpp
@@ -139,7 +139,7 @@
         return;
     }
     const bool others_answer = this->now() - this->peer_answered_at < answer_validity;
-    if (!others_answer || this->is_chosen_to_call()) {
+    if (!others_answer || this->is_chosen_to_call(starting_caller_count)) {
         if (this->looked_for_members) {
             this->list_unlisted_topics();
         }
--- a/src/azureshore/sharing/internal/reading.cpp
+++ b/src/azureshore/sharing/internal/reading.cpp
@@ -283,10 +283,23 @@
            !this->topics[1].last_call_failed && now - *this->own_read_at < takeover_age;
 }
 
-bool store_sharing::state::is_chosen_to_call()
+std::size_t store_sharing::state::daemon_count() const
 {
-    const auto daemons = std::max(this->known_members.serving_count(), this->told_member_count);
-    return uniform(this->hooks.random) < random_reader_count / static_cast<double>(daemons);
+    return std::max(this->known_members.serving_count(), this->told_member_count);
+}
+
+bool store_sharing::state::is_chosen_to_call(double callers)
+{
+    return uniform(this->hooks.random) < callers / static_cast<double>(this->daemon_count());
+}
+
+// In a small fleet each daemon must check more often for all of them to make enough calls.
+duration store_sharing::state::outage_check_interval() const
+{
+    const auto bound = this->settings.apply_within;
+    const auto all_call = fraction_of(bound, static_cast<double>(this->daemon_count()) /
+                                                 (search_calls_per_bound * mean_jitter));
+    return std::clamp(all_call, store_retry_delay, fraction_of(bound, reader_interval_fraction));
 }
 
 // Reads the store if this daemon's records are older than max_staleness(), or asks other daemons
@@ -310,7 +323,13 @@
     }
     const bool reads_first = this->known_members.rank() < standby_reader_count && !this->leaving;
     const bool others_answered = this->pulled_at && this->peer_answered_at >= *this->pulled_at;
-    if (reads_first || (this->pulled_at && (!others_answered || this->is_chosen_to_call()))) {
+    const auto retry_delay = this->store_unavailable ? this->outage_check_interval()
+                             : reads_first           ? store_retry_delay
+                                                     : fraction_of(bound, pull_wait_fraction);
+    const auto callers =
+        search_calls_per_bound * mean_jitter * (std::chrono::duration<double>(retry_delay) / bound);
+    if (reads_first ||
+        (this->pulled_at && (!others_answered || this->is_chosen_to_call(callers)))) {
         this->read_both_topics();
     }
     if (this->known_members.rank() > 0 || this->topics[0].last_call_failed ||
@@ -318,9 +337,6 @@
         this->pulled_at = now;
         this->pull_from_others();
     }
-    const auto retry_delay = this->store_unavailable ? fraction_of(bound, reader_interval_fraction)
-                             : reads_first           ? store_retry_delay
-                                                     : fraction_of(bound, pull_wait_fraction);
     this->schedule_check(this->jittered(retry_delay));
 }
 
--- a/src/azureshore/sharing/internal/sharing_constants.hpp
+++ b/src/azureshore/sharing/internal/sharing_constants.hpp
@@ -17,13 +17,21 @@
 inline constexpr std::size_t standby_reader_count = 4;
 // Delay before a failed call to the store is retried.
 inline constexpr duration store_retry_delay = std::chrono::milliseconds(250);
-// Of the daemons that have no special task in an outage, about this many call the store in each
-// round of retries, however many there are.
-inline constexpr double random_reader_count = 6;
+// Of the daemons that start and hear only from others that know nothing either, about this many
+// call the store in each round of retries, however many there are.
+inline constexpr double starting_caller_count = 6;
+// While none of the daemons that answer each other has read the store lately, all of them together
+// call it about this often within sharing_settings::apply_within. If the store serves only one
+// daemon in ten, the chance that none of these is among 88 callers is one in 10,000; the rest of
+// the time is for passing on what was read.
+inline constexpr double search_calls_per_bound = 98;
 
 // Ages in messages are limited to this, so that a malformed one can't overflow a time.
 inline constexpr duration max_age = std::chrono::hours(1);
 
+// The mean of what state::jittered() makes of a delay, as a multiple of it.
+inline constexpr double mean_jitter = 1.25;
+
 inline duration fraction_of(duration whole, double fraction)
 {
     return std::chrono::duration_cast<duration>(whole * fraction);
--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -151,8 +151,12 @@
     [[nodiscard]] duration max_staleness() const;
     void start_operators_long_poll();
     [[nodiscard]] bool is_reader() const;
-    // Decides at random whether this daemon calls the store now, so that a few of all daemons do.
-    [[nodiscard]] bool is_chosen_to_call();
+    // Decides at random whether this daemon calls the store now, so that about `callers` of all
+    // daemons do.
+    [[nodiscard]] bool is_chosen_to_call(double callers);
+    [[nodiscard]] std::size_t daemon_count() const;
+    // The time between two checks of a daemon in an outage.
+    [[nodiscard]] duration outage_check_interval() const;
 
     // News.
     void send_to(const std::vector<wire::member_entry>& recipients, const wire::message& body);
--- a/tests/restored_store/restored_store_tests.cpp
+++ b/tests/restored_store/restored_store_tests.cpp
@@ -164,6 +164,38 @@
     }
 }
 
+// Guards against a change that stays unknown because the store serves few daemons after a restore,
+// and none of these calls it in time.
+BOOST_DATA_TEST_CASE(a_change_soon_after_a_restore_is_known_in_time_while_one_in_ten_is_served,
+                     fleet_sizes, daemons)
+{
+    constexpr double served_share = 0.1;
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+        restored_cluster cluster(daemons, seed);
+        auto random = seeded_random(seed);
+        cluster.store.take_backup();
+        cluster.store.put(sharing_cluster::operators, "config", "2");
+        cluster.clock.run_for(apply_bound);
+        const auto always_served = uniform_index(random, daemons);
+        std::set<std::string> refused;
+        for (std::size_t i = 0; i < daemons; ++i) {
+            if (i != always_served && uniform(random) >= served_share) {
+                refused.insert(cluster.name_of(i).value);
+            }
+        }
+        cluster.store.unanswered_callers = refused;
+        cluster.clock.run_for(500ms);
+        cluster.store.unanswered_callers.insert("*");
+        cluster.clock.run_for(2s);
+        cluster.store.restore_backup();
+        cluster.store.unanswered_callers = refused;
+        cluster.store.put(sharing_cluster::operators, "config", "3");
+        cluster.clock.run_for(apply_bound);
+        BOOST_TEST_CONTEXT("seed " << seed)
+        cluster.check_known(shared_topic::operators, "config", "3");
+    }
+}
+
 // Guards against an older configuration on daemons that start before the operators have written
 // theirs again.
 BOOST_AUTO_TEST_CASE(a_daemon_that_starts_after_a_restore_gets_what_the_others_know_from_before)
