Let a gateway that starts learn what a restored store has lost

Callers saw 404 for a route that had been in force for seconds, from a gateway that restarted just after the store came back from a backup, and requests went to a backend server that had left, or to a data centre out of service, until that had been written again.

Cause: a daemon that restarts as a seed listed the store while it asked the others, and used what came first, the copy as often as not.

Ruled out: a gateway that is ready without a configuration, as each 404 was decided by the copy's version.

Where the store was never restored nothing changes. The owner of the records gets both at once, so that no request that waits is decided by the older ones.

--- a/src/azureshore/balance/backend_registry.cpp
+++ b/src/azureshore/balance/backend_registry.cpp
@@ -45,7 +45,8 @@
     if (const auto found = this->entries.find(incoming.id); found != this->entries.end()) {
         return older(found->second.last.started_at, found->second.last.sequence);
     }
-    if (const auto found = this->tombstones.find(incoming.id); found != this->tombstones.end()) {
+    if (const auto found = this->tombstones.find(incoming.id);
+        found != this->tombstones.end() && found->second.seen) {
         return older(found->second.started_at, found->second.sequence + 1);
     }
     return false;
@@ -53,6 +54,10 @@
 
 bool backend_registry::is_outdated_after_restore(const registration& incoming) const
 {
+    const auto removed = this->tombstones.find(incoming.id);
+    if (removed != this->tombstones.end() && !removed->second.seen) {
+        return true;
+    }
     if (incoming.started_at != 0) {
         return this->is_outdated(incoming);
     }
@@ -60,8 +65,7 @@
         return found->second.last.endpoint == incoming.endpoint &&
                incoming.sequence < found->second.last.sequence;
     }
-    const auto found = this->tombstones.find(incoming.id);
-    return found != this->tombstones.end() && incoming.sequence <= found->second.sequence;
+    return removed != this->tombstones.end() && incoming.sequence <= removed->second.sequence;
 }
 
 bool backend_registry::is_lapse_likely(time_point now) const
@@ -133,6 +137,27 @@
     return outdated;
 }
 
+bool backend_registry::apply_earlier_registration(const registration& incoming)
+{
+    const auto found = this->entries.find(incoming.id);
+    if (found == this->entries.end() || this->is_outdated_after_restore(incoming)) {
+        return false;
+    }
+    return this->apply_registration(incoming);
+}
+
+bool backend_registry::apply_earlier_removal(const backend_id& id)
+{
+    if (this->entries.contains(id)) {
+        this->remove(id, "unregistered");
+        return true;
+    }
+    if (!this->tombstones.contains(id)) {
+        this->add_tombstone(id, {0, 0, false});
+    }
+    return false;
+}
+
 void backend_registry::remove_missing(time_point now, const std::set<backend_id>& present)
 {
     std::vector<backend_id> missing;
@@ -181,13 +206,18 @@
     }
 }
 
-void backend_registry::remove(const backend_id& id, const std::string& reason)
+void backend_registry::add_tombstone(const backend_id& id, const tombstone& last)
 {
-    const auto found = this->entries.find(id);
     if (this->tombstones.size() >= max_tombstones) {
         this->tombstones.erase(this->tombstones.begin());
     }
-    this->tombstones[id] = {found->second.last.started_at, found->second.last.sequence};
+    this->tombstones[id] = last;
+}
+
+void backend_registry::remove(const backend_id& id, const std::string& reason)
+{
+    const auto found = this->entries.find(id);
+    this->add_tombstone(id, {found->second.last.started_at, found->second.last.sequence});
     this->entries.erase(found);
     this->hooks.removed(id, reason);
 }
--- a/src/azureshore/daemon/internal/gateway_store.cpp
+++ b/src/azureshore/daemon/internal/gateway_store.cpp
@@ -14,9 +14,6 @@
 
 // How often lapsed registrations are looked at.
 constexpr duration tick_interval = std::chrono::milliseconds(250);
-// Operators write again what a restored store has lost. A data centre stays out of service for this
-// long without its record.
-constexpr duration rewrite_grace = std::chrono::seconds(10);
 
 // All daemons listen for each other at the same port.
 std::vector<address> peers_of(const settings::gateway_settings& settings)
@@ -137,15 +134,18 @@
         this->topics.announce(this->self, what, std::move(done));
     };
     made.replace_records = [this](wire::shared_topic topic,
-                                  const std::vector<platform::keyed_record>& records) {
-        this->listed(topic, records);
+                                  const std::vector<platform::keyed_record>& records,
+                                  const std::vector<wire::earlier_record>& earlier) {
+        this->listed(topic, records, earlier);
     };
     made.merge_restored_records = [this](wire::shared_topic topic,
                                          const std::vector<platform::keyed_record>& records) {
         return this->restored(topic, records);
     };
-    made.take_earlier_record = [this](wire::shared_topic, const platform::keyed_record& record) {
-        return this->take_earlier_operator_record(record);
+    made.take_earlier_record = [this](wire::shared_topic topic,
+                                      const wire::earlier_record& earlier) {
+        return topic == wire::shared_topic::operators ? this->take_earlier_operator_record(earlier)
+                                                      : this->take_earlier_registration(earlier);
     };
     made.apply_record = [this](wire::shared_topic topic, const platform::keyed_record& record) {
         return this->changed(topic, record);
@@ -194,13 +194,14 @@
 }
 
 void gateway_store::listed(wire::shared_topic topic,
-                           const std::vector<platform::keyed_record>& records)
+                           const std::vector<platform::keyed_record>& records,
+                           const std::vector<wire::earlier_record>& earlier)
 {
     if (topic == wire::shared_topic::operators) {
-        this->take_all_operator_records(records);
+        this->take_all_operator_records(records, earlier);
     }
     else {
-        this->take_all_registrations(records);
+        this->take_all_registrations(records, earlier);
     }
 }
 
@@ -220,12 +221,17 @@
     return true;
 }
 
-void gateway_store::take_all_operator_records(const std::vector<platform::keyed_record>& records)
+void gateway_store::take_all_operator_records(const std::vector<platform::keyed_record>& records,
+                                              const std::vector<wire::earlier_record>& earlier)
 {
     this->out_of_service.clear();
     for (const auto& [data_centre, until] : this->unconfirmed) {
         this->out_of_service.insert(data_centre);
     }
+    // The earlier records go first, as requests that wait are decided by the first configuration.
+    for (const auto& each : earlier) {
+        this->take_earlier_operator_record(each);
+    }
     for (const auto& each : records) {
         this->take_operator_record(each, this->platform.read_operator_record(each));
     }
@@ -253,14 +259,16 @@
     }
     for (const auto& each : this->out_of_service) {
         if (!listed.contains(each)) {
-            this->keep_unconfirmed(each);
+            this->keep_unconfirmed(each, sharing::rewrite_grace);
         }
     }
     return outdated;
 }
 
-bool gateway_store::take_earlier_operator_record(const platform::keyed_record& record)
+bool gateway_store::take_earlier_operator_record(const wire::earlier_record& earlier)
 {
+    const platform::keyed_record record{earlier.record.offset, earlier.record.key,
+                                        earlier.record.value};
     auto read = this->platform.read_operator_record(record);
     if (!read.ok()) {
         return false;
@@ -271,16 +279,27 @@
         return true;
     }
     const auto* change = std::get_if<data_centre_service>(&*read);
-    if (change != nullptr && !change->in_service && !this->out_of_service.contains(change->name)) {
-        this->set_in_service(*change);
-        this->keep_unconfirmed(change->name);
+    if (change == nullptr || change->in_service || this->out_of_service.contains(change->name)) {
+        return false;
+    }
+    this->set_in_service(*change);
+    this->keep_unconfirmed(change->name, earlier.valid_for);
+    return true;
+}
+
+bool gateway_store::take_earlier_registration(const wire::earlier_record& earlier)
+{
+    if (!earlier.record.value) {
+        return this->registry.apply_earlier_removal(backend_id{earlier.record.key});
     }
-    return false;
+    const auto read = this->platform.read_registration(
+        {earlier.record.offset, earlier.record.key, earlier.record.value});
+    return read.ok() && this->registry.apply_earlier_registration(*read);
 }
 
-void gateway_store::keep_unconfirmed(const data_centre_id& name)
+void gateway_store::keep_unconfirmed(const data_centre_id& name, duration valid_for)
 {
-    this->unconfirmed.insert_or_assign(name, steady_now() + rewrite_grace);
+    this->unconfirmed.insert_or_assign(name, steady_now() + valid_for);
     this->hooks.log({"data_centre_unconfirmed", {{"data_centre", name.value}}});
 }
 
@@ -320,9 +339,31 @@
     this->hooks.out_of_service(this->out_of_service);
 }
 
-void gateway_store::take_all_registrations(const std::vector<platform::keyed_record>& records)
+void gateway_store::take_all_registrations(const std::vector<platform::keyed_record>& records,
+                                           const std::vector<wire::earlier_record>& earlier)
 {
-    const auto all = this->read_registrations(records);
+    // What is newer replaces its record in the list, so that the list has no older state of a
+    // backend server to which requests that wait could go.
+    std::map<std::string, platform::keyed_record> newest;
+    for (const auto& each : records) {
+        newest[each.key] = each;
+    }
+    for (const auto& each : earlier) {
+        const auto listed = newest.find(each.record.key);
+        if (!each.record.value) {
+            newest.erase(each.record.key);
+            this->registry.apply_earlier_removal(backend_id{each.record.key});
+        }
+        else if (listed != newest.end()) {
+            listed->second.value = each.record.value;
+        }
+    }
+    std::vector<platform::keyed_record> merged;
+    merged.reserve(newest.size());
+    for (auto& [key, each] : newest) {
+        merged.push_back(std::move(each));
+    }
+    const auto all = this->read_registrations(merged);
     this->take_list([&] { this->registry.apply_full_list(steady_now(), all); });
 }
 
--- a/src/azureshore/platform/keyed_topic.hpp
+++ b/src/azureshore/platform/keyed_topic.hpp
@@ -21,11 +21,15 @@
     bool operator==(const keyed_record&) const = default;
 };
 
+// The epoch of a store that has never been restored from a backup.
+inline constexpr std::uint64_t first_epoch = 1;
+
 // The newest record of every key.
 struct keyed_list {
     bool ok = false;
-    // How often the store has been restored from a backup. Each restore may lose records and gives
-    // their offsets out again, so offsets can only be compared within an epoch.
+    // Rises by one each time the store is restored from a backup; zero if the store does not tell.
+    // Each restore may lose records and gives their offsets out again, so offsets can only be
+    // compared within an epoch.
     std::uint64_t epoch = 0;
     std::vector<keyed_record> records;
     // From where to read on so that no record is missed.
--- a/src/azureshore/sharing/internal/joining.cpp
+++ b/src/azureshore/sharing/internal/joining.cpp
@@ -33,6 +33,9 @@
 constexpr duration snapshot_window = std::chrono::milliseconds(100);
 // Daemons that were served longer ago may have ended, so nobody is redirected to them.
 constexpr duration served_daemons_validity = std::chrono::seconds(1);
+// How long a daemon that restarts keeps its list of a restored store back, so that others can tell
+// what the store has lost.
+constexpr duration held_list_patience = std::chrono::milliseconds(300);
 // For this long after its start, a daemon that listed the store itself takes newer records from
 // others that know them from before the store was restored.
 constexpr duration earlier_records_window = std::chrono::seconds(3);
@@ -131,6 +134,55 @@
     this->request_snapshot(target.where, redirect.redirects);
 }
 
+// The others may know what the restored store has lost, so all that can be found are asked.
+void store_sharing::state::hold_list(topic_state& topic, const platform::keyed_list& list,
+                                     time_point began)
+{
+    const bool already_asking = std::any_of(this->topics.begin(), this->topics.end(),
+                                            [](const auto& each) { return each.held.has_value(); });
+    topic.held = held_list{list, began};
+    this->run_after(held_list_patience,
+                    [kind = topic.kind](state& self) { self.use_held_list(self.topic_for(kind)); });
+    if (already_asking) {
+        return;
+    }
+    for (const auto& each : this->settings.seeds) {
+        if (each != this->settings.own_address) {
+            this->request_snapshot(each, 0);
+        }
+    }
+    this->list_members();
+}
+
+void store_sharing::state::use_held_list(topic_state& topic)
+{
+    const auto held = std::exchange(topic.held, std::nullopt);
+    if (!held) {
+        return;
+    }
+    this->apply_list(topic, {held->list.epoch, held->list.next_offset}, {held->list.records, {}});
+    this->handle_store_success(topic, held->began);
+    this->serve_waiting_daemons();
+    this->check_staleness();
+}
+
+// Called when another daemon's snapshot has been applied.
+void store_sharing::state::merge_held_list(topic_state& topic)
+{
+    if (!topic.held) {
+        return;
+    }
+    const wire::topic_position next{topic.held->list.epoch, topic.held->list.next_offset};
+    if (next.epoch > topic.next.epoch) {
+        this->use_held_list(topic);
+        return;
+    }
+    topic.held.reset();
+    if (next > topic.next) {
+        this->read_topic(topic, std::chrono::milliseconds(0));
+    }
+}
+
 // Looks in the store for other daemons and for the topics themselves, if no other daemon answers.
 // Where others answer that have no snapshot either, only a few of them call the store.
 void store_sharing::state::load_without_seeds()
@@ -320,7 +372,7 @@
     }
 }
 
-std::optional<std::vector<platform::keyed_record>>
+std::optional<store_sharing::state::snapshot_content>
 store_sharing::state::assemble_snapshot(topic_state& topic, const wire::topic_snapshot& part)
 {
     // Answers of several daemons may arrive by turns.
@@ -335,35 +387,58 @@
         }
         found = partial.insert(partial.end(), {part.snapshot_id, {}});
     }
-    found->parts[part.part] = part.records;
+    found->parts[part.part] = part;
     if (found->parts.size() < part.parts) {
         return std::nullopt;
     }
-    std::vector<platform::keyed_record> records;
-    for (const auto& [part_number, part_records] : found->parts) {
-        for (const auto& each : part_records) {
-            records.push_back({each.offset, each.key, each.value});
+    snapshot_content content;
+    for (const auto& [part_number, received] : found->parts) {
+        for (const auto& each : received.records) {
+            content.records.push_back({each.offset, each.key, each.value});
         }
+        content.earlier_records.insert(content.earlier_records.end(),
+                                       received.earlier_records.begin(),
+                                       received.earlier_records.end());
     }
     partial.clear();
-    return records;
+    for (auto& each : content.earlier_records) {
+        each.valid_for = std::clamp(each.valid_for, duration{}, max_age);
+    }
+    return content;
 }
 
 void store_sharing::state::take_earlier_records(topic_state& topic,
                                                 const wire::topic_snapshot& snapshot)
 {
-    const bool just_started = this->now() - this->started_at < earlier_records_window;
-    const bool may_be_newer = snapshot.next.epoch < topic.next.epoch || snapshot.next == topic.next;
-    if (topic.kind != wire::shared_topic::operators || !just_started || !may_be_newer) {
+    if (this->now() - this->started_at >= earlier_records_window) {
         return;
     }
-    for (const auto& each : snapshot.records) {
-        const bool newer =
-            this->hooks.take_earlier_record(topic.kind, {each.offset, each.key, each.value});
-        const auto known = topic.newest_records.find(each.key);
-        if (newer && known != topic.newest_records.end()) {
-            known->second.record.value = each.value;
+    if (snapshot.next.epoch == topic.next.epoch) {
+        for (const auto& each : snapshot.earlier_records) {
+            const auto known = topic.newest_records.find(each.record.key);
+            const bool written_again = known != topic.newest_records.end() &&
+                                       known->second.record.offset >= snapshot.next.offset;
+            if (!written_again) {
+                this->take_earlier_record(topic, each);
+            }
         }
+        return;
+    }
+    // The sender does not know yet that the store was restored. Its registrations can't be told
+    // from those of backend servers that have registered again since.
+    if (topic.kind == wire::shared_topic::operators) {
+        for (const auto& each : snapshot.records) {
+            this->take_earlier_record(topic, {each, rewrite_grace});
+        }
+    }
+}
+
+void store_sharing::state::take_earlier_record(topic_state& topic,
+                                               const wire::earlier_record& record)
+{
+    if (this->hooks.take_earlier_record(topic.kind, record)) {
+        topic.earlier_records[record.record.key] = {
+            record.record.value, this->now() + std::clamp(record.valid_for, duration{}, max_age)};
     }
 }
 
@@ -378,13 +453,14 @@
         this->take_earlier_records(topic, snapshot);
         return;
     }
-    const auto records = assemble_snapshot(topic, snapshot);
-    if (!records) {
+    const auto content = assemble_snapshot(topic, snapshot);
+    if (!content) {
         return;
     }
-    this->apply_list(topic, snapshot.next, *records);
+    this->apply_list(topic, snapshot.next, *content);
     topic.missed_records = false;
     topic.current_as_of = this->now() - std::clamp(snapshot.age, duration{}, max_age);
+    this->merge_held_list(topic);
     this->serve_waiting_daemons();
     this->check_staleness();
 }
--- a/src/azureshore/sharing/internal/messages.cpp
+++ b/src/azureshore/sharing/internal/messages.cpp
@@ -23,27 +23,42 @@
     return record.key.size() + (record.value ? record.value->size() : 0);
 }
 
-// Splits news into messages of a bounded size, each of which starts where the previous one ends.
-std::vector<wire::topic_news> split_news(wire::topic_news news)
+std::size_t byte_size(const wire::earlier_record& earlier)
 {
-    std::vector<wire::topic_news> parts;
-    const auto records = std::move(news.records);
-    news.records.clear();
-    auto part = news;
+    return byte_size(earlier.record);
+}
+
+// Divides records into one or more groups of a bounded size.
+template <class Record>
+std::vector<std::vector<Record>> split_by_size(const std::vector<Record>& records)
+{
+    std::vector<std::vector<Record>> groups(1);
     std::size_t bytes = 0;
     for (const auto& each : records) {
-        if (!part.records.empty() && bytes + byte_size(each) > max_news_bytes) {
-            part.next.offset = each.offset;
-            parts.push_back(part);
-            part.from = each.offset;
-            part.records.clear();
+        if (!groups.back().empty() && bytes + byte_size(each) > max_news_bytes) {
+            groups.emplace_back();
             bytes = 0;
         }
-        part.records.push_back(each);
+        groups.back().push_back(each);
         bytes += byte_size(each);
     }
-    part.next = news.next;
-    parts.push_back(std::move(part));
+    return groups;
+}
+
+// Splits news into messages of a bounded size, each of which starts where the previous one ends.
+std::vector<wire::topic_news> split_news(wire::topic_news news)
+{
+    std::vector<wire::topic_news> parts;
+    auto groups = split_by_size(std::exchange(news.records, {}));
+    for (auto& each : groups) {
+        auto part = news;
+        if (!parts.empty()) {
+            part.from = each.front().offset;
+            parts.back().next.offset = part.from;
+        }
+        part.records = std::move(each);
+        parts.push_back(std::move(part));
+    }
     return parts;
 }
 
@@ -51,19 +66,41 @@
 
 std::vector<wire::topic_snapshot> store_sharing::state::snapshot_of(const topic_state& topic) const
 {
-    wire::topic_news all;
-    all.next = topic.next;
+    const auto now = this->now();
+    std::vector<wire::shared_record> records;
     for (const auto& [key, newest] : topic.newest_records) {
-        all.records.push_back(newest.record);
+        records.push_back(newest.record);
+    }
+    for (const auto& [offset, key] : topic.removed_keys) {
+        if (!topic.newest_records.contains(key)) {
+            records.push_back({offset, key, std::nullopt});
+        }
+    }
+    std::vector<wire::earlier_record> earlier_records;
+    for (const auto& [key, each] : topic.earlier_records) {
+        if (each.valid_until > now) {
+            earlier_records.push_back({{0, key, each.value}, each.valid_until - now});
+        }
     }
-    auto parts = split_news(std::move(all));
-    const auto id = this->hooks.random();
+    wire::topic_snapshot part;
+    part.topic = topic.kind;
+    part.next = topic.next;
+    part.age = now - topic.current_as_of;
+    part.snapshot_id = this->hooks.random();
     std::vector<wire::topic_snapshot> snapshot;
-    snapshot.reserve(parts.size());
-    for (auto& part : parts) {
-        snapshot.push_back({topic.kind, topic.next, this->now() - topic.current_as_of,
-                            static_cast<std::uint32_t>(snapshot.size()),
-                            static_cast<std::uint32_t>(parts.size()), std::move(part.records), id});
+    for (auto& each : split_by_size(records)) {
+        snapshot.push_back(part);
+        snapshot.back().records = std::move(each);
+    }
+    if (!earlier_records.empty()) {
+        for (auto& each : split_by_size(earlier_records)) {
+            snapshot.push_back(part);
+            snapshot.back().earlier_records = std::move(each);
+        }
+    }
+    for (std::size_t i = 0; i < snapshot.size(); ++i) {
+        snapshot[i].part = static_cast<std::uint32_t>(i);
+        snapshot[i].parts = static_cast<std::uint32_t>(snapshot.size());
     }
     return snapshot;
 }
--- a/src/azureshore/sharing/internal/reading.cpp
+++ b/src/azureshore/sharing/internal/reading.cpp
@@ -38,7 +38,7 @@
 void store_sharing::state::list_unlisted_topics()
 {
     for (auto& each : this->topics) {
-        if (!each.listed && !each.call_in_flight) {
+        if (!each.listed && !each.call_in_flight && !each.held) {
             this->list_topic(each);
         }
     }
@@ -65,10 +65,14 @@
         this->handle_list_failure(topic);
         return;
     }
+    if (!topic.listed && !this->settings.first_start && result.epoch > platform::first_epoch) {
+        this->hold_list(topic, result, began);
+        return;
+    }
     // Other daemons may have told more while the store was listing.
     if (!topic.listed || next > topic.next) {
         topic.snapshot_unsent = again;
-        this->apply_list(topic, next, result.records);
+        this->apply_list(topic, next, {result.records, {}});
     }
     this->handle_store_success(topic, began);
     this->broadcast_unsent_snapshots();
@@ -86,7 +90,7 @@
     if (topic.listed || this->is_seed()) {
         this->run_after(this->jittered(store_retry_delay), [kind = topic.kind](state& self) {
             auto& retried_topic = self.topic_for(kind);
-            if (!retried_topic.call_in_flight &&
+            if (!retried_topic.call_in_flight && !retried_topic.held &&
                 (!retried_topic.listed || retried_topic.last_call_failed)) {
                 self.list_topic(retried_topic);
             }
--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -37,10 +37,24 @@
         wire::shared_record record;
         std::uint64_t changed_offset = 0;
     };
+    // A record from before the store was restored.
+    struct kept_record {
+        std::optional<std::string> value;
+        time_point valid_until;
+    };
+    // A list of a restored store that this daemon does not use before others had time to answer.
+    struct held_list {
+        platform::keyed_list list;
+        time_point began;
+    };
     // The parts received so far of a snapshot, by part number.
     struct partial_snapshot {
         std::uint64_t id = 0;
-        std::map<std::uint32_t, std::vector<wire::shared_record>> parts;
+        std::map<std::uint32_t, wire::topic_snapshot> parts;
+    };
+    struct snapshot_content {
+        std::vector<platform::keyed_record> records;
+        std::vector<wire::earlier_record> earlier_records;
     };
     struct topic_state {
         wire::shared_topic kind;
@@ -61,6 +75,10 @@
         // Removals by offset. Those before history_begin are not known.
         std::map<std::uint64_t, std::string> removed_keys{};
         std::uint64_t history_begin = 0;
+        // What this daemon knows from before the store was restored, where the store lacks it or
+        // has it older, by key, until the key is written again.
+        std::map<std::string, kept_record> earlier_records{};
+        std::optional<held_list> held{};
         // The latest incomplete snapshots, the oldest first.
         std::deque<partial_snapshot> partial_snapshots{};
         // This daemon listed the topic again, and the others may lack what it took over.
@@ -102,7 +120,12 @@
     void handle_store_success(topic_state& topic, time_point began);
     void apply_read(topic_state& topic, const platform::keyed_read& result);
     void apply_list(topic_state& topic, const wire::topic_position& next,
-                    const std::vector<platform::keyed_record>& records);
+                    const snapshot_content& content);
+    // The records of a restored store, merged with what is known from before.
+    void merge_restored_list(topic_state& topic,
+                             const std::map<std::string, newest_record>& known_records,
+                             const std::map<std::string, kept_record>& known_earlier,
+                             const std::vector<platform::keyed_record>& records);
     void report_restore(const topic_state& topic, const wire::topic_position& next) const;
     bool apply_record(topic_state& topic, const platform::keyed_record& record);
     void announce();
@@ -117,6 +140,9 @@
     void ask_next_seed();
     void load_without_seeds();
     void request_snapshot(const address& recipient, std::uint32_t redirects);
+    void hold_list(topic_state& topic, const platform::keyed_list& list, time_point began);
+    void use_held_list(topic_state& topic);
+    void merge_held_list(topic_state& topic);
     void handle_redirect(const wire::pull_redirect& redirect);
 
     // Snapshots and updates for other daemons.
@@ -134,12 +160,12 @@
     void broadcast_unsent_snapshots();
     [[nodiscard]] bool may_serve_snapshots() const;
     void handle_snapshot(const wire::topic_snapshot& snapshot);
-    // Takes what others know of the operators' topic from before a restore after which this daemon
-    // started.
+    // Takes what others know from before a restore after which this daemon started.
     void take_earlier_records(topic_state& topic, const wire::topic_snapshot& snapshot);
+    void take_earlier_record(topic_state& topic, const wire::earlier_record& record);
     // Returns all records once every part has come.
-    static std::optional<std::vector<platform::keyed_record>>
-    assemble_snapshot(topic_state& topic, const wire::topic_snapshot& part);
+    static std::optional<snapshot_content> assemble_snapshot(topic_state& topic,
+                                                             const wire::topic_snapshot& part);
     void handle_update(const wire::topic_update& update);
     void pull_from_others();
     void fetch_missed_records(topic_state& topic);
--- a/src/azureshore/sharing/store_sharing.cpp
+++ b/src/azureshore/sharing/store_sharing.cpp
@@ -45,7 +45,7 @@
 }
 
 void store_sharing::state::apply_list(topic_state& topic, const wire::topic_position& next,
-                                      const std::vector<platform::keyed_record>& records)
+                                      const snapshot_content& content)
 {
     const bool restored = topic.listed && next.epoch > topic.next.epoch;
     if (restored) {
@@ -54,27 +54,86 @@
         this->announced = false;
         this->members_listed_at.reset();
     }
-    topic.listed = true;
+    const bool first = !std::exchange(topic.listed, true);
     topic.next = next;
     topic.history_begin = next.offset;
     topic.recent_reads.clear();
     topic.removed_keys.clear();
-    const auto known = std::exchange(topic.newest_records, {});
-    for (const auto& each : records) {
-        topic.newest_records[each.key] = {{each.offset, each.key, each.value}, each.offset};
+    const auto known_records = std::exchange(topic.newest_records, {});
+    const auto known_earlier = std::exchange(topic.earlier_records, {});
+    auto earlier = content.earlier_records;
+    std::vector<platform::keyed_record> present;
+    for (const auto& each : content.records) {
+        if (each.value) {
+            topic.newest_records[each.key] = {{each.offset, each.key, each.value}, each.offset};
+            present.push_back(each);
+        }
+        else {
+            topic.removed_keys[each.offset] = each.key;
+            earlier.push_back({{each.offset, each.key, std::nullopt}, max_age});
+        }
     }
-    if (!restored) {
-        this->hooks.replace_records(topic.kind, records);
+    if (first) {
+        this->hooks.replace_records(topic.kind, present, earlier);
+        for (const auto& each : content.earlier_records) {
+            topic.earlier_records[each.record.key] = {each.record.value,
+                                                      this->now() + each.valid_for};
+        }
         return;
     }
-    // Snapshots for other daemons must hold the newer records too.
+    if (restored) {
+        this->merge_restored_list(topic, known_records, known_earlier, present);
+    }
+    else {
+        this->hooks.replace_records(topic.kind, present, {});
+        for (const auto& [key, each] : known_earlier) {
+            const auto listed = topic.newest_records.find(key);
+            const auto before = known_records.find(key);
+            const bool same_record = listed != topic.newest_records.end() &&
+                                     before != known_records.end() &&
+                                     listed->second.record == before->second.record;
+            const bool still_lacking =
+                listed == topic.newest_records.end() && before == known_records.end();
+            if (same_record || still_lacking) {
+                topic.earlier_records.emplace(key, each);
+            }
+        }
+    }
+    for (const auto& each : content.earlier_records) {
+        this->take_earlier_record(topic, each);
+    }
+}
+
+void store_sharing::state::merge_restored_list(
+    topic_state& topic, const std::map<std::string, newest_record>& known_records,
+    const std::map<std::string, kept_record>& known_earlier,
+    const std::vector<platform::keyed_record>& records)
+{
+    const auto now = this->now();
     for (const auto& key : this->hooks.merge_restored_records(topic.kind, records)) {
-        const auto newer = known.find(key);
-        if (newer == known.end()) {
-            topic.newest_records.erase(key);
+        const auto kept = known_earlier.find(key);
+        const auto known = known_records.find(key);
+        kept_record newer{std::nullopt, now + max_age};
+        if (kept != known_earlier.end()) {
+            newer.value = kept->second.value;
         }
-        else {
-            topic.newest_records[key].record.value = newer->second.record.value;
+        else if (known != known_records.end()) {
+            newer.value = known->second.record.value;
+        }
+        topic.earlier_records[key] = std::move(newer);
+    }
+    if (topic.kind != wire::shared_topic::operators) {
+        // Backend servers that the store lacks register again by themselves.
+        return;
+    }
+    for (const auto& [key, each] : known_earlier) {
+        if (each.value && each.valid_until > now && !topic.newest_records.contains(key)) {
+            topic.earlier_records.emplace(key, each);
+        }
+    }
+    for (const auto& [key, each] : known_records) {
+        if (!topic.newest_records.contains(key) && !known_earlier.contains(key)) {
+            topic.earlier_records.emplace(key, kept_record{each.record.value, now + rewrite_grace});
         }
     }
 }
@@ -97,11 +156,13 @@
     // Limits the memory for removals; a daemon that missed older ones gets a snapshot.
     constexpr std::size_t max_removed_keys = 1024;
     const bool changed = this->hooks.apply_record(topic.kind, record);
+    topic.earlier_records.erase(record.key);
     if (!record.value) {
         topic.newest_records.erase(record.key);
         topic.removed_keys[record.offset] = record.key;
         if (topic.removed_keys.size() > max_removed_keys) {
-            topic.history_begin = topic.removed_keys.begin()->first + 1;
+            topic.history_begin =
+                std::max(topic.history_begin, topic.removed_keys.begin()->first + 1);
             topic.removed_keys.erase(topic.removed_keys.begin());
         }
         return changed;
--- a/src/azureshore/sharing/store_sharing.hpp
+++ b/src/azureshore/sharing/store_sharing.hpp
@@ -14,6 +14,10 @@
 
 namespace azureshore::sharing {
 
+// Operators write again what a restored store has lost. A record that the store lacks holds for
+// this long without.
+inline constexpr duration rewrite_grace = std::chrono::seconds(10);
+
 struct sharing_settings {
     vm_id self;
     // The address at which this daemon receives messages.
@@ -37,8 +41,10 @@
     std::function<void(const std::vector<address>& recipients, const wire::message&)> send;
     // Writes this daemon's announcement to the store; `done` receives whether that succeeded.
     std::function<void(const std::string& announcement, std::function<void(bool)> done)> announce;
-    // Replaces all that is known of a topic by the newest record of every key.
-    std::function<void(wire::shared_topic, const std::vector<platform::keyed_record>&)>
+    // Replaces all that is known of a topic by the newest record of every key. `earlier` holds what
+    // another daemon knows to be newer than these, from before the store was restored.
+    std::function<void(wire::shared_topic, const std::vector<platform::keyed_record>& records,
+                       const std::vector<wire::earlier_record>& earlier)>
         replace_records;
     // Merges the records of a store that was restored from a backup into what is known of a topic,
     // which may be newer. Returns the keys whose known record, or removal, is newer.
@@ -46,8 +52,8 @@
                                         const std::vector<platform::keyed_record>&)>
         merge_restored_records;
     // Takes a record that another daemon knows from before the store was restored, if it is newer
-    // than what this daemon read after its start. Returns whether it was.
-    std::function<bool(wire::shared_topic, const platform::keyed_record&)> take_earlier_record;
+    // than what this daemon knows. Returns whether it was.
+    std::function<bool(wire::shared_topic, const wire::earlier_record&)> take_earlier_record;
     // Applies one record. Returns whether it changes what this daemon knows.
     std::function<bool(wire::shared_topic, const platform::keyed_record&)> apply_record;
     // Reports that neither this daemon nor any other one that it hears from can read the store.
@@ -87,7 +93,9 @@
 //
 // A store that was restored from a backup starts a new epoch. A daemon that finds or hears of a
 // later epoch takes over each topic as a whole, except for what it knows to be newer, and ignores
-// what others know of earlier epochs.
+// what others know of earlier epochs. It passes on what it knows to be newer with its snapshots. A
+// daemon that restarts waits for another one's snapshot before it uses its own list of a store that
+// has been restored.
 //
 // The daemons need not agree on which one is the reader: two readers only cost more calls. All
 // calls must come from one thread.
--- a/src/azureshore/wire/sharing_messages.hpp
+++ b/src/azureshore/wire/sharing_messages.hpp
@@ -65,6 +65,17 @@
     bool operator==(const topic_news&) const = default;
 };
 
+// What a daemon knows from before the store was restored from a backup, where the restored store
+// lacks it or has it older.
+struct earlier_record {
+    // Without a value if the key was dropped, though the restored store has it.
+    shared_record record;
+    // How much longer the record holds if nobody writes its key again.
+    duration valid_for{};
+
+    bool operator==(const earlier_record&) const = default;
+};
+
 // All that the sender knows of a topic, in one or more messages.
 struct topic_snapshot {
     shared_topic topic = shared_topic::registrations;
@@ -73,6 +84,7 @@
     duration age{};
     std::uint32_t part = 0;
     std::uint32_t parts = 1;
+    // The newest record of each key that the store has, and the latest removals.
     std::vector<shared_record> records;
     // Random, the same for all parts of a snapshot: those of daemons that know the same records may
     // be divided differently.
@@ -80,6 +92,7 @@
     // Random if each receiver forwards the message along the broadcast trees, zero if the sender
     // answers one daemon.
     std::uint64_t broadcast_id = 0;
+    std::vector<earlier_record> earlier_records;
 
     bool operator==(const topic_snapshot&) const = default;
 };
--- a/tests/balance/backend_registry_tests.cpp
+++ b/tests/balance/backend_registry_tests.cpp
@@ -185,4 +185,42 @@
     BOOST_TEST(fixture.changed.back().started_at == 2000);
 }
 
+// Guards against requests to a backend server that leaves, or has left, because a daemon that
+// starts knows it only from a restored store.
+BOOST_AUTO_TEST_CASE(what_another_daemon_knows_from_before_a_restore_is_taken_if_newer)
+{
+    for (const std::int64_t started_at : {0, 1000}) {
+        BOOST_TEST_CONTEXT("started at " << started_at)
+        {
+            registry_fixture fixture;
+            fixture.registry.apply_full_list(fixture.now, {plate_registration(4, started_at)});
+            auto draining = plate_registration(5, started_at);
+            draining.draining = true;
+            BOOST_TEST(fixture.registry.apply_earlier_registration(draining));
+            BOOST_TEST(fixture.changed.back().draining);
+            const auto older = plate_registration(3, started_at);
+            BOOST_TEST(!fixture.registry.apply_earlier_registration(older));
+            BOOST_TEST(fixture.changed.back().draining);
+            BOOST_TEST(fixture.registry.apply_earlier_removal(older.id));
+            BOOST_TEST(fixture.registry.size() == 0U);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_server_told_to_be_gone_is_back_when_it_registers_and_not_by_a_restored_list)
+{
+    for (const std::int64_t started_at : {0, 1000}) {
+        BOOST_TEST_CONTEXT("started at " << started_at)
+        {
+            registry_fixture fixture;
+            const auto listed = plate_registration(4, started_at);
+            BOOST_TEST(!fixture.registry.apply_earlier_removal(listed.id));
+            BOOST_TEST(fixture.registry.merge_restored_list(fixture.now, {listed}).size() == 1U);
+            BOOST_TEST(fixture.registry.size() == 0U);
+            BOOST_TEST(fixture.registry.apply_registration(plate_registration(5, started_at)));
+            BOOST_TEST(fixture.registry.size() == 1U);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/restored_store/restored_store_tests.cpp
+++ b/tests/restored_store/restored_store_tests.cpp
@@ -237,7 +237,10 @@
         cluster.clock.run_for(started_after);
         cluster.disconnected.insert(seed_daemon);
         cluster.start(seed_daemon);
-        cluster.clock.run_for(20ms);
+        // It does not use what the store has before the others had time to answer.
+        cluster.clock.run_for(250ms);
+        BOOST_TEST(!cluster.sharing_of(seed_daemon).topics_listed());
+        cluster.clock.run_for(100ms);
         BOOST_TEST(cluster.known_value(seed_daemon, shared_topic::operators, "config") == "1");
         cluster.disconnected.clear();
         cluster.clock.run_for(500ms);
@@ -246,6 +249,66 @@
     }
 }
 
+// Guards against a daemon that starts and serves by an older configuration, uses a data centre that
+// is out of service, or a backend server that is gone, because it believes a restored store.
+BOOST_AUTO_TEST_CASE(a_daemon_that_starts_never_knows_less_than_the_others_do_from_before_a_restore)
+{
+    constexpr std::size_t daemons = 13;
+    constexpr std::size_t seed_daemon = 0;
+    constexpr std::size_t other_daemon = 7;
+    for (const auto started : {seed_daemon, other_daemon}) {
+        for (const auto started_after : {0ms, 20ms, 300ms, 2000ms, 6000ms}) {
+            restored_cluster cluster(daemons, 8);
+            cluster.first_start = false;
+            cluster.store.put(sharing_cluster::registrations, "plate-2", "ready");
+            cluster.store.take_backup();
+            cluster.store.put(sharing_cluster::operators, "config", "2");
+            cluster.store.put(sharing_cluster::operators, "out-of-service", "1");
+            cluster.store.put(sharing_cluster::registrations, "plate-2", std::nullopt);
+            cluster.clock.run_for(apply_bound);
+            cluster.kill(started);
+            cluster.store.restore_backup();
+            cluster.clock.run_for(started_after);
+            cluster.start(started);
+            BOOST_TEST_CONTEXT("vm-" << started << " started " << started_after.count()
+                                     << " ms after the restore")
+            for (int step = 0; step < 200; ++step) {
+                cluster.clock.run_for(5ms);
+                if (cluster.sharing_of(started).topics_listed()) {
+                    const auto known = [&](shared_topic topic, const std::string& key) {
+                        return cluster.known_value(started, topic, key);
+                    };
+                    BOOST_REQUIRE(known(shared_topic::operators, "config") == "2");
+                    BOOST_REQUIRE(known(shared_topic::operators, "out-of-service") == "1");
+                    BOOST_REQUIRE(known(shared_topic::registrations, "plate-1") == "ready 1");
+                    BOOST_REQUIRE(known(shared_topic::registrations, "plate-2").empty());
+                }
+            }
+            BOOST_TEST(cluster.sharing_of(started).topics_listed());
+        }
+    }
+}
+
+// Guards against a data centre that stays out of service for each daemon that starts, although the
+// operators have not written that again.
+BOOST_AUTO_TEST_CASE(what_a_restored_store_lacks_is_passed_on_for_a_limited_time)
+{
+    constexpr std::size_t daemons = 13;
+    constexpr std::size_t started = 7;
+    restored_cluster cluster(daemons, 9);
+    cluster.first_start = false;
+    cluster.store.take_backup();
+    cluster.store.put(sharing_cluster::operators, "out-of-service", "1");
+    cluster.clock.run_for(apply_bound);
+    cluster.store.restore_backup();
+    cluster.clock.run_for(2s + sharing::rewrite_grace);
+    cluster.kill(started);
+    cluster.start(started);
+    cluster.clock.run_for(1s);
+    BOOST_TEST(cluster.sharing_of(started).topics_listed());
+    BOOST_TEST(cluster.known_value(started, shared_topic::operators, "out-of-service").empty());
+}
+
 // Guards against a daemon that finds no other one, because the restore lost their announcements and
 // the seeds are away.
 BOOST_AUTO_TEST_CASE(a_daemon_that_starts_after_a_restore_finds_the_others_without_seeds)
--- a/tests/sharing/store_sharing_tests.cpp
+++ b/tests/sharing/store_sharing_tests.cpp
@@ -323,7 +323,7 @@
     cluster.start(0);
     const auto snapshot = [](std::uint64_t id, std::uint32_t part,
                              const std::vector<std::string>& keys) {
-        wire::topic_snapshot made{shared_topic::registrations, {0, 9}, 0s, part, 2, {}, id};
+        wire::topic_snapshot made{shared_topic::registrations, {0, 9}, 0s, part, 2, {}, id, 0, {}};
         for (const auto& each : keys) {
             made.records.push_back({4, each, "ready"});
         }
@@ -353,9 +353,9 @@
     wire::topic_news news;
     news.reader = cluster->name_of(reader);
     news.from = 1;
-    news.next = {0, 2};
+    news.next = {platform::first_epoch, 2};
     news.records = {{1, "plate-2", "ready"}};
-    news.operators_next = {0, 2};
+    news.operators_next = {platform::first_epoch, 2};
     news.broadcast_id = 1;
     cluster->sharing_of(other).receive({news.reader, news});
     // Well before the daemon takes over from the reader.
--- a/tests/support/sharing_cluster.cpp
+++ b/tests/support/sharing_cluster.cpp
@@ -316,43 +316,86 @@
         this->store.announce(this->name_of(index), announcement, done);
     };
     hooks.replace_records = [owner](wire::shared_topic topic,
-                                    const std::vector<platform::keyed_record>& records) {
-        auto& values = owner.lock()->known_values[static_cast<std::size_t>(topic)];
+                                    const std::vector<platform::keyed_record>& records,
+                                    const std::vector<wire::earlier_record>& earlier) {
+        const auto process = owner.lock();
+        auto& values = process->known_values[static_cast<std::size_t>(topic)];
         values.clear();
         for (const auto& each : records) {
             values[each.key] = each.value.value_or("");
         }
+        for (const auto& each : earlier) {
+            if (each.record.value) {
+                values[each.record.key] = *each.record.value;
+            }
+            else {
+                values.erase(each.record.key);
+                process->removed_registrations.insert(each.record.key);
+            }
+        }
     };
-    // The values of the configuration are its versions, which never fall back.
+    // The values of the configuration are its versions, which never fall back. What the operators
+    // wrote stays in force although the store lacks it.
     hooks.merge_restored_records = [owner](wire::shared_topic topic,
                                            const std::vector<platform::keyed_record>& records) {
-        auto& values = owner.lock()->known_values[static_cast<std::size_t>(topic)];
-        const auto version = values["config"];
+        const auto process = owner.lock();
+        auto& values = process->known_values[static_cast<std::size_t>(topic)];
+        const auto known = values;
         values.clear();
         std::set<std::string> outdated;
         for (const auto& each : records) {
+            if (topic == wire::shared_topic::registrations &&
+                process->removed_registrations.contains(each.key)) {
+                outdated.insert(each.key);
+                continue;
+            }
             values[each.key] = each.value.value_or("");
         }
-        if (topic == wire::shared_topic::operators && version > values["config"]) {
-            values["config"] = version;
-            outdated.insert("config");
+        if (topic == wire::shared_topic::operators) {
+            for (const auto& [key, value] : known) {
+                if (!values.contains(key)) {
+                    values[key] = value;
+                }
+            }
+            const auto version = known.find("config");
+            if (version != known.end() && version->second > values["config"]) {
+                values["config"] = version->second;
+                outdated.insert("config");
+            }
         }
         return outdated;
     };
     hooks.take_earlier_record = [owner](wire::shared_topic topic,
-                                        const platform::keyed_record& record) {
-        auto& known = owner.lock()->known_values[static_cast<std::size_t>(topic)][record.key];
-        const bool newer = record.key == "config" && known < record.value.value_or("");
+                                        const wire::earlier_record& earlier) {
+        const auto process = owner.lock();
+        auto& values = process->known_values[static_cast<std::size_t>(topic)];
+        const auto& [offset, key, value] = earlier.record;
+        if (topic == wire::shared_topic::registrations) {
+            process->removed_registrations.insert(key);
+            return !value && values.erase(key) > 0;
+        }
+        const auto known = values.find(key);
+        const bool newer =
+            value && (known == values.end() || (key == "config" && known->second < *value));
         if (newer) {
-            known = *record.value;
+            values[key] = *value;
         }
         return newer;
     };
     hooks.apply_record = [owner](wire::shared_topic topic, const platform::keyed_record& record) {
-        auto& values = owner.lock()->known_values[static_cast<std::size_t>(topic)];
+        const auto process = owner.lock();
+        auto& values = process->known_values[static_cast<std::size_t>(topic)];
         const auto value = record.value.value_or("");
         const bool changed = values[record.key] != value;
         values[record.key] = value;
+        if (topic == wire::shared_topic::registrations) {
+            if (record.value) {
+                process->removed_registrations.erase(record.key);
+            }
+            else {
+                process->removed_registrations.insert(record.key);
+            }
+        }
         return changed;
     };
     hooks.store_unavailable = [this] {
--- a/tests/support/sharing_cluster.hpp
+++ b/tests/support/sharing_cluster.hpp
@@ -73,7 +73,7 @@
     random_source random;
     std::map<std::string, topic_log> topics;
     std::map<std::string, topic_log> backup;
-    std::uint64_t epoch = 0;
+    std::uint64_t epoch = platform::first_epoch;
     // The newest records at the time of the last restore, by topic.
     std::map<std::string, std::map<std::string, platform::keyed_record>> before_restore;
     std::vector<std::shared_ptr<waiting_read>> waiting;
@@ -130,6 +130,8 @@
 private:
     struct daemon_process {
         std::map<std::string, std::string> known_values[2];
+        // Keys of registrations that were dropped.
+        std::set<std::string> removed_registrations;
         std::unique_ptr<sharing::store_sharing> sharing;
     };
 
