Split the hooks of the simulated daemons

What one daemon makes of the records that it is told is now in member functions of its own; the hooks call them.

--- a/tests/support/sharing_cluster.cpp
+++ b/tests/support/sharing_cluster.cpp
@@ -296,6 +296,92 @@
     return count;
 }
 
+void sharing_cluster::daemon_process::replace_records(
+    wire::shared_topic topic, const std::vector<platform::keyed_record>& records,
+    const std::vector<wire::earlier_record>& earlier)
+{
+    auto& values = this->values_of(topic);
+    values.clear();
+    for (const auto& each : records) {
+        values[each.key] = each.value.value_or("");
+    }
+    for (const auto& each : earlier) {
+        if (each.record.value) {
+            values[each.record.key] = *each.record.value;
+        }
+        else {
+            values.erase(each.record.key);
+            this->removed_registrations.insert(each.record.key);
+        }
+    }
+}
+
+std::set<std::string> sharing_cluster::daemon_process::merge_restored_records(
+    wire::shared_topic topic, const std::vector<platform::keyed_record>& records)
+{
+    auto& values = this->values_of(topic);
+    const auto known = values;
+    values.clear();
+    std::set<std::string> outdated;
+    for (const auto& each : records) {
+        if (topic == wire::shared_topic::registrations &&
+            this->removed_registrations.contains(each.key)) {
+            outdated.insert(each.key);
+            continue;
+        }
+        values[each.key] = each.value.value_or("");
+    }
+    if (topic == wire::shared_topic::operators) {
+        for (const auto& [key, value] : known) {
+            if (!values.contains(key)) {
+                values[key] = value;
+            }
+        }
+        const auto version = known.find("config");
+        if (version != known.end() && version->second > values["config"]) {
+            values["config"] = version->second;
+            outdated.insert("config");
+        }
+    }
+    return outdated;
+}
+
+bool sharing_cluster::daemon_process::take_earlier_record(wire::shared_topic topic,
+                                                          const wire::earlier_record& earlier)
+{
+    auto& values = this->values_of(topic);
+    const auto& [offset, key, value] = earlier.record;
+    if (topic == wire::shared_topic::registrations) {
+        this->removed_registrations.insert(key);
+        return !value && values.erase(key) > 0;
+    }
+    const auto known = values.find(key);
+    const bool newer =
+        value && (known == values.end() || (key == "config" && known->second < *value));
+    if (newer) {
+        values[key] = *value;
+    }
+    return newer;
+}
+
+bool sharing_cluster::daemon_process::apply_record(wire::shared_topic topic,
+                                                   const platform::keyed_record& record)
+{
+    auto& values = this->values_of(topic);
+    const auto value = record.value.value_or("");
+    const bool changed = values[record.key] != value;
+    values[record.key] = value;
+    if (topic == wire::shared_topic::registrations) {
+        if (record.value) {
+            this->removed_registrations.erase(record.key);
+        }
+        else {
+            this->removed_registrations.insert(record.key);
+        }
+    }
+    return changed;
+}
+
 sharing::sharing_hooks sharing_cluster::hooks_of(std::size_t index,
                                                  const std::weak_ptr<daemon_process>& owner)
 {
@@ -318,85 +404,18 @@
     hooks.replace_records = [owner](wire::shared_topic topic,
                                     const std::vector<platform::keyed_record>& records,
                                     const std::vector<wire::earlier_record>& earlier) {
-        const auto process = owner.lock();
-        auto& values = process->known_values[static_cast<std::size_t>(topic)];
-        values.clear();
-        for (const auto& each : records) {
-            values[each.key] = each.value.value_or("");
-        }
-        for (const auto& each : earlier) {
-            if (each.record.value) {
-                values[each.record.key] = *each.record.value;
-            }
-            else {
-                values.erase(each.record.key);
-                process->removed_registrations.insert(each.record.key);
-            }
-        }
+        owner.lock()->replace_records(topic, records, earlier);
     };
-    // The values of the configuration are its versions, which never fall back. What the operators
-    // wrote stays in force although the store lacks it.
     hooks.merge_restored_records = [owner](wire::shared_topic topic,
                                            const std::vector<platform::keyed_record>& records) {
-        const auto process = owner.lock();
-        auto& values = process->known_values[static_cast<std::size_t>(topic)];
-        const auto known = values;
-        values.clear();
-        std::set<std::string> outdated;
-        for (const auto& each : records) {
-            if (topic == wire::shared_topic::registrations &&
-                process->removed_registrations.contains(each.key)) {
-                outdated.insert(each.key);
-                continue;
-            }
-            values[each.key] = each.value.value_or("");
-        }
-        if (topic == wire::shared_topic::operators) {
-            for (const auto& [key, value] : known) {
-                if (!values.contains(key)) {
-                    values[key] = value;
-                }
-            }
-            const auto version = known.find("config");
-            if (version != known.end() && version->second > values["config"]) {
-                values["config"] = version->second;
-                outdated.insert("config");
-            }
-        }
-        return outdated;
+        return owner.lock()->merge_restored_records(topic, records);
     };
     hooks.take_earlier_record = [owner](wire::shared_topic topic,
                                         const wire::earlier_record& earlier) {
-        const auto process = owner.lock();
-        auto& values = process->known_values[static_cast<std::size_t>(topic)];
-        const auto& [offset, key, value] = earlier.record;
-        if (topic == wire::shared_topic::registrations) {
-            process->removed_registrations.insert(key);
-            return !value && values.erase(key) > 0;
-        }
-        const auto known = values.find(key);
-        const bool newer =
-            value && (known == values.end() || (key == "config" && known->second < *value));
-        if (newer) {
-            values[key] = *value;
-        }
-        return newer;
+        return owner.lock()->take_earlier_record(topic, earlier);
     };
     hooks.apply_record = [owner](wire::shared_topic topic, const platform::keyed_record& record) {
-        const auto process = owner.lock();
-        auto& values = process->known_values[static_cast<std::size_t>(topic)];
-        const auto value = record.value.value_or("");
-        const bool changed = values[record.key] != value;
-        values[record.key] = value;
-        if (topic == wire::shared_topic::registrations) {
-            if (record.value) {
-                process->removed_registrations.erase(record.key);
-            }
-            else {
-                process->removed_registrations.insert(record.key);
-            }
-        }
-        return changed;
+        return owner.lock()->apply_record(topic, record);
     };
     hooks.store_unavailable = [this] {
         ++this->unavailable_reports;
--- a/tests/support/sharing_cluster.hpp
+++ b/tests/support/sharing_cluster.hpp
@@ -128,7 +128,23 @@
     static constexpr const char* registrations = "registrations";
 
 private:
+    // What one daemon makes of the records that it is told.
     struct daemon_process {
+        std::map<std::string, std::string>& values_of(wire::shared_topic topic)
+        {
+            return this->known_values[static_cast<std::size_t>(topic)];
+        }
+        void replace_records(wire::shared_topic topic,
+                             const std::vector<platform::keyed_record>& records,
+                             const std::vector<wire::earlier_record>& earlier);
+        // The values of the configuration are its versions, which never fall back. What the
+        // operators wrote stays in force although the store lacks it.
+        std::set<std::string>
+        merge_restored_records(wire::shared_topic topic,
+                               const std::vector<platform::keyed_record>& records);
+        bool take_earlier_record(wire::shared_topic topic, const wire::earlier_record& earlier);
+        bool apply_record(wire::shared_topic topic, const platform::keyed_record& record);
+
         std::map<std::string, std::string> known_values[2];
         // Keys of registrations that were dropped.
         std::set<std::string> removed_registrations;
