Read on when an answer of the store ends at its size limit

Callers could get 404 for a new route, and requests could go to backend servers that had left: a daemon took a read whose answer ended at the store's limit for all that the store held. It counted itself as current, its news made the others count themselves as current, and the rest of the registrations came with the next regular reads.

Cause: the end of the topic, which each answer states, was not looked at. Found by reading, in the search for ways to a configuration older than the one in force; no play has shown it. Ruled out for the operators' topic while its reader waits for changes: its next read begins at once.

A read that ends before the end of the topic is now continued at once, its parts are passed on as one, and only its end makes the daemon current. An answer of which nothing can be read counts as a failed call, where it would have been asked for again without a pause.

The new test fails without the change: 40 registrations that take 14 reads are not known after the bound. It passes now, as do sharing, restored_store and users_platform.

--- a/src/azureshore/platform/keyed_topic.hpp
+++ b/src/azureshore/platform/keyed_topic.hpp
@@ -41,6 +41,9 @@
     read_outcome outcome = read_outcome::unavailable;
     std::uint64_t epoch = 0;
     std::uint64_t next_offset = 0;
+    // The end of the topic. It lies behind next_offset if the answer holds only a part of the
+    // records, as the store limits the size of its answers.
+    std::uint64_t end_offset = 0;
     std::vector<keyed_record> records;
 };
 
--- a/src/azureshore/sharing/internal/reading.cpp
+++ b/src/azureshore/sharing/internal/reading.cpp
@@ -140,6 +140,10 @@
         return;
     }
     this->apply_read(topic, result);
+    if (topic.next.offset < result.end_offset) {
+        this->read_rest(topic, call, result);
+        return;
+    }
     this->handle_store_success(topic, call.began);
     this->broadcast_unsent_snapshots();
     const bool has_news = topic.kind == wire::shared_topic::registrations ||
@@ -163,6 +167,19 @@
     this->continue_reading(topic, call.began);
 }
 
+// The records of a part alone are not passed on: news tell their receivers that they know all.
+void store_sharing::state::read_rest(topic_state& topic, const read_call& call,
+                                     const platform::keyed_read& part)
+{
+    if (part.next_offset <= call.from.offset) {
+        // Nothing in the answer could be read, so the next one would be the same.
+        this->handle_store_failure(topic);
+        return;
+    }
+    topic.read_incomplete = true;
+    this->read_topic(topic, std::chrono::milliseconds(0));
+}
+
 // Goes on to the registrations after the operators' topic, as their news say how far both are read.
 void store_sharing::state::continue_reading(topic_state& topic, time_point began)
 {
@@ -198,15 +215,19 @@
 
 void store_sharing::state::apply_read(topic_state& topic, const platform::keyed_read& result)
 {
-    read_round read{topic.next.offset, std::max(topic.next.offset, result.next_offset), {}};
+    const bool continues = std::exchange(topic.read_incomplete, false);
+    if (!continues || topic.recent_reads.empty()) {
+        topic.recent_reads.push_back({topic.next.offset, topic.next.offset, {}});
+    }
+    auto& read = topic.recent_reads.back();
     for (const auto& each : result.records) {
         // News from another daemon may have delivered the record before this read ended.
         if (each.offset >= topic.next.offset && this->apply_record(topic, each)) {
             read.records.push_back({each.offset, each.key, each.value});
         }
     }
-    topic.next.offset = read.next_offset;
-    topic.recent_reads.push_back(std::move(read));
+    topic.next.offset = std::max(topic.next.offset, result.next_offset);
+    read.next_offset = topic.next.offset;
     if (topic.recent_reads.size() > reads_per_news) {
         topic.recent_reads.pop_front();
     }
--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -71,6 +71,8 @@
         // Another daemon has records that this one lacks.
         bool missed_records = false;
         std::deque<read_round> recent_reads{};
+        // The latest read ended at the size limit of an answer; its rest is being read.
+        bool read_incomplete = false;
         std::map<std::string, newest_record> newest_records{};
         // Removals by offset. Those before history_begin are not known.
         std::map<std::uint64_t, std::string> removed_keys{};
@@ -118,6 +120,7 @@
     void continue_reading(topic_state& topic, time_point began);
     void handle_store_failure(topic_state& topic);
     void handle_store_success(topic_state& topic, time_point began);
+    void read_rest(topic_state& topic, const read_call& call, const platform::keyed_read& part);
     void apply_read(topic_state& topic, const platform::keyed_read& result);
     void apply_list(topic_state& topic, const wire::topic_position& next,
                     const snapshot_content& content);
--- a/tests/sharing/store_sharing_tests.cpp
+++ b/tests/sharing/store_sharing_tests.cpp
@@ -195,6 +195,25 @@
     BOOST_TEST(all_daemons_know(*cluster, daemon_count, shared_topic::operators, "config", "2"));
 }
 
+// Guards against backend servers and configurations that stay unknown because they did not fit into
+// one answer of the store.
+BOOST_AUTO_TEST_CASE(records_beyond_the_size_limit_of_an_answer_are_known_within_the_bound)
+{
+    constexpr int records = 40;
+    auto cluster = settled_cluster(daemon_count, 31);
+    cluster->store.max_records_per_read = 3;
+    for (int i = 0; i < records; ++i) {
+        cluster->store.put(sharing_cluster::registrations, "plate-" + std::to_string(i), "ready");
+        cluster->store.put(sharing_cluster::operators, "config", std::to_string(i));
+    }
+    cluster->clock.run_for(apply_bound);
+    const auto last = std::to_string(records - 1);
+    BOOST_TEST(all_daemons_know(*cluster, daemon_count, shared_topic::registrations,
+                                "plate-" + last, "ready"));
+    BOOST_TEST(all_daemons_know(*cluster, daemon_count, shared_topic::operators, "config", last));
+    BOOST_TEST(cluster->unavailable_reports == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(daemons_keep_the_bound_when_the_store_does_not_wake_a_waiting_read)
 {
     auto cluster = settled_cluster(daemon_count, 13);
--- a/tests/support/sharing_cluster.cpp
+++ b/tests/support/sharing_cluster.cpp
@@ -183,9 +183,13 @@
     }
     else if (answered) {
         result.outcome = platform::read_outcome::ok;
-        const auto begin = static_cast<std::ptrdiff_t>(read->first_offset - log.first_offset);
-        result.records.assign(log.records.begin() + begin, log.records.end());
-        result.next_offset = log.first_offset + log.records.size();
+        const auto begin = read->first_offset - log.first_offset;
+        const auto count =
+            std::min<std::size_t>(log.records.size() - begin, this->max_records_per_read);
+        const auto first = log.records.begin() + static_cast<std::ptrdiff_t>(begin);
+        result.records.assign(first, first + static_cast<std::ptrdiff_t>(count));
+        result.next_offset = read->first_offset + count;
+        result.end_offset = log.first_offset + log.records.size();
     }
     read->done(result);
 }
--- a/tests/support/sharing_cluster.hpp
+++ b/tests/support/sharing_cluster.hpp
@@ -5,6 +5,7 @@
 #include "support/virtual_clock.hpp"
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -49,6 +50,8 @@
     std::set<std::string> unanswered_callers;
     std::uint64_t calls = 0;
     std::map<std::string, std::uint64_t> calls_by;
+    // The store limits the size of its answers to reads.
+    std::size_t max_records_per_read = std::numeric_limits<std::size_t>::max();
     // Whether a waiting read is answered when a record arrives, instead of at its timeout.
     bool wakes_waiting_reads = true;
 
--- a/tests/users_platform/store_calls_tests.cpp
+++ b/tests/users_platform/store_calls_tests.cpp
@@ -138,6 +138,23 @@
     BOOST_TEST(of.list(of.topic(mine)).records.empty());
 }
 
+// Guards against a part of the records that is taken for all of them.
+BOOST_AUTO_TEST_CASE(a_read_that_ends_at_the_size_limit_tells_that_more_records_follow)
+{
+    constexpr std::uint64_t records = 6;
+    running_store of;
+    const std::string large(256UL * 1024UL, 'x');
+    for (std::uint64_t i = 0; i < records; ++i) {
+        of.store.put(mine, "k/" + std::to_string(i), large);
+    }
+    const auto part = of.read(of.topic(mine), 0);
+    BOOST_TEST(part.next_offset < records);
+    BOOST_TEST(part.end_offset == records);
+    const auto rest = of.read(of.topic(mine), part.next_offset);
+    BOOST_TEST(rest.next_offset == records);
+    BOOST_TEST(rest.end_offset == records);
+}
+
 BOOST_AUTO_TEST_CASE(a_read_that_waits_ends_with_the_next_record)
 {
     running_store of;
