Keep what is known to be newer at a further list of a restored store

Requests could go to a backend server that had left when a daemon had to list a restored store a second time: records can expire while the store still has outdated ones.

Ruled out for a daemon that knew the backend server before it left, and for configurations: a lower sequence or version does not undo a higher one there.

Both now go to the owner of the records together, as at the first list.

The new test fails without the change: three checks, for the backend server and the configuration that had been known. It passes now, as do sharing and restored_store.

--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -124,6 +124,12 @@
     void apply_read(topic_state& topic, const platform::keyed_read& result);
     void apply_list(topic_state& topic, const wire::topic_position& next,
                     const snapshot_content& content);
+    // The records of a further list in the same epoch, after which what is known from before the
+    // store was restored still holds.
+    void replace_records(topic_state& topic,
+                         const std::map<std::string, newest_record>& known_records,
+                         const std::map<std::string, kept_record>& known_earlier,
+                         const std::vector<platform::keyed_record>& records);
     // The records of a restored store, merged with what is known from before.
     void merge_restored_list(topic_state& topic,
                              const std::map<std::string, newest_record>& known_records,
--- a/src/azureshore/sharing/store_sharing.cpp
+++ b/src/azureshore/sharing/store_sharing.cpp
@@ -85,25 +85,35 @@
         this->merge_restored_list(topic, known_records, known_earlier, present);
     }
     else {
-        this->hooks.replace_records(topic.kind, present, {});
-        for (const auto& [key, each] : known_earlier) {
-            const auto listed = topic.newest_records.find(key);
-            const auto before = known_records.find(key);
-            const bool same_record = listed != topic.newest_records.end() &&
-                                     before != known_records.end() &&
-                                     listed->second.record == before->second.record;
-            const bool still_lacking =
-                listed == topic.newest_records.end() && before == known_records.end();
-            if (same_record || still_lacking) {
-                topic.earlier_records.emplace(key, each);
-            }
-        }
+        this->replace_records(topic, known_records, known_earlier, present);
     }
     for (const auto& each : content.earlier_records) {
         this->take_earlier_record(topic, each);
     }
 }
 
+void store_sharing::state::replace_records(
+    topic_state& topic, const std::map<std::string, newest_record>& known_records,
+    const std::map<std::string, kept_record>& known_earlier,
+    const std::vector<platform::keyed_record>& records)
+{
+    std::vector<wire::earlier_record> still_newer;
+    for (const auto& [key, each] : known_earlier) {
+        const auto listed = topic.newest_records.find(key);
+        const auto before = known_records.find(key);
+        const bool same_record = listed != topic.newest_records.end() &&
+                                 before != known_records.end() &&
+                                 listed->second.record == before->second.record;
+        const bool still_lacking =
+            listed == topic.newest_records.end() && before == known_records.end();
+        if ((same_record || still_lacking) && each.valid_until > this->now()) {
+            topic.earlier_records.emplace(key, each);
+            still_newer.push_back({{0, key, each.value}, each.valid_until - this->now()});
+        }
+    }
+    this->hooks.replace_records(topic.kind, records, still_newer);
+}
+
 void store_sharing::state::merge_restored_list(
     topic_state& topic, const std::map<std::string, newest_record>& known_records,
     const std::map<std::string, kept_record>& known_earlier,
--- a/tests/restored_store/restored_store_tests.cpp
+++ b/tests/restored_store/restored_store_tests.cpp
@@ -309,6 +309,33 @@
     BOOST_TEST(cluster.known_value(started, shared_topic::operators, "out-of-service").empty());
 }
 
+// Guards against requests to a backend server that is gone, because daemons had to list a restored
+// store once more before its outdated registration was removed.
+BOOST_AUTO_TEST_CASE(a_further_list_of_a_restored_store_brings_back_nothing_outdated)
+{
+    restored_cluster cluster(13, 10);
+    cluster.store.put(sharing_cluster::registrations, "plate-2", "ready");
+    cluster.store.take_backup();
+    cluster.store.put(sharing_cluster::operators, "config", "2");
+    cluster.store.put(sharing_cluster::operators, "out-of-service", "1");
+    cluster.store.put(sharing_cluster::registrations, "plate-2", std::nullopt);
+    cluster.clock.run_for(apply_bound);
+    cluster.store.restore_backup();
+    cluster.clock.run_for(apply_bound);
+    cluster.store.unanswered_callers.insert("*");
+    cluster.clock.run_for(apply_bound);
+    cluster.store.put(sharing_cluster::operators, "other", "1");
+    cluster.store.put(sharing_cluster::registrations, "plate-3", "ready");
+    cluster.store.compact(sharing_cluster::operators);
+    cluster.store.compact(sharing_cluster::registrations);
+    cluster.store.unanswered_callers.clear();
+    cluster.clock.run_for(apply_bound);
+    cluster.check_known(shared_topic::registrations, "plate-3", "ready");
+    cluster.check_known(shared_topic::registrations, "plate-2", "");
+    cluster.check_known(shared_topic::operators, "config", "2");
+    cluster.check_known(shared_topic::operators, "out-of-service", "1");
+}
+
 // Guards against a daemon that finds no other one, because the restore lost their announcements and
 // the seeds are away.
 BOOST_AUTO_TEST_CASE(a_daemon_that_starts_after_a_restore_finds_the_others_without_seeds)
