--- a/tests/users_platform/decode_tests.cpp
+++ b/tests/users_platform/decode_tests.cpp
@@ -67,6 +67,28 @@
     BOOST_TEST(!users_platform::read_operator_record(record("config", "{\"ver")).ok());
 }
 
+// Guards against an older configuration that stays in force because of how a whole number is
+// written.
+BOOST_AUTO_TEST_CASE(a_configuration_is_read_however_its_whole_numbers_are_written)
+{
+    const auto read = [](const std::string& from, const std::string& to) {
+        return users_platform::read_operator_record(
+            record("config", without(configuration, from, to)));
+    };
+    for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>>{
+             {"\"weight\":90", "\"weight\":90.0"},
+             {"\"priority\":2", "\"priority\":2.0"},
+             {"\"max_attempts\":2", "\"max_attempts\":2e0"},
+             {"16384", "1.6384e4"}}) {
+        BOOST_TEST_CONTEXT(to)
+        BOOST_TEST(read(from, to).ok());
+    }
+    for (const auto* broken : {"-1", "-1.0", "2.5", "1e300", "\"2\"", "null"}) {
+        BOOST_TEST_CONTEXT(broken)
+        BOOST_TEST(!read("\"max_attempts\":2", std::string("\"max_attempts\":") + broken).ok());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_data_centre_is_out_of_service_while_its_record_stands)
 {
     const auto out = users_platform::read_operator_record(record("evacuate/maadi", "{}"));
