Ask others what they know from before a restore after listing it oneself

Callers could get 404 for a route that had been confirmed, and be answered as by an older version, from a gateway that had been cut off just before the store came back from a backup and that reached the store before it reached the other gateways: until the operators wrote the same key again.

Daemons that get the list from the reader ask nobody.

The three new tests fail without the change: for 9 of 13 daemons cut off for seconds, for 3 of 13 that missed news alone, and for both that start apart from the others. They pass now, as do all others of restored_store and sharing.

--- a/src/azureshore/sharing/internal/joining.cpp
+++ b/src/azureshore/sharing/internal/joining.cpp
@@ -39,6 +39,8 @@
 // For this long after its start, a daemon that listed the store itself takes newer records from
 // others that know them from before the store was restored.
 constexpr duration earlier_records_window = std::chrono::seconds(3);
+// The time between two questions to others by a daemon that listed a restored store.
+constexpr duration earlier_records_retry_delay = std::chrono::milliseconds(500);
 // Redirects that a daemon follows before it starts over.
 constexpr std::uint32_t max_redirects = 16;
 // Announced daemons that a starting daemon asks for a snapshot.
@@ -161,11 +163,47 @@
         return;
     }
     this->apply_list(topic, {held->list.epoch, held->list.next_offset}, {held->list.records, {}});
+    this->seek_earlier_records(topic);
     this->handle_store_success(topic, held->began);
     this->serve_waiting_daemons();
     this->check_staleness();
 }
 
+void store_sharing::state::seek_earlier_records(topic_state& topic)
+{
+    const bool already_asking =
+        std::any_of(this->topics.begin(), this->topics.end(),
+                    [](const auto& each) { return each.seeks_earlier_records; });
+    topic.seeks_earlier_records = true;
+    if (!already_asking) {
+        this->ask_for_earlier_records();
+    }
+}
+
+void store_sharing::state::ask_for_earlier_records()
+{
+    if (std::none_of(this->topics.begin(), this->topics.end(),
+                     [](const auto& each) { return each.seeks_earlier_records; })) {
+        return;
+    }
+    this->send_to(this->random_members(pulled_daemons),
+                  wire::topics_pull{this->known_members.self(), this->topics[0].next,
+                                    this->topics[1].next, true, 0});
+    this->run_after(this->jittered(earlier_records_retry_delay),
+                    [](state& self) { self.ask_for_earlier_records(); });
+}
+
+void store_sharing::state::heard_earlier_records(topic_state& topic,
+                                                 const wire::topic_snapshot& snapshot)
+{
+    // Only an answer tells what its sender knows: a broadcast may come from another daemon that
+    // listed the restored store. What is known from before stands in the last part.
+    if (snapshot.broadcast_id == 0 && snapshot.part + 1 == snapshot.parts &&
+        snapshot.next.epoch == topic.next.epoch) {
+        topic.seeks_earlier_records = false;
+    }
+}
+
 // Called when another daemon's snapshot has been applied.
 void store_sharing::state::merge_held_list(topic_state& topic)
 {
@@ -410,7 +448,7 @@
 void store_sharing::state::take_earlier_records(topic_state& topic,
                                                 const wire::topic_snapshot& snapshot)
 {
-    if (this->now() - this->started_at >= earlier_records_window) {
+    if (this->now() - this->started_at >= earlier_records_window && !topic.seeks_earlier_records) {
         return;
     }
     if (snapshot.next.epoch == topic.next.epoch) {
@@ -451,6 +489,7 @@
     }
     if (topic.listed && snapshot.next <= topic.next) {
         this->take_earlier_records(topic, snapshot);
+        heard_earlier_records(topic, snapshot);
         return;
     }
     const auto content = assemble_snapshot(topic, snapshot);
@@ -458,6 +497,7 @@
         return;
     }
     this->apply_list(topic, snapshot.next, *content);
+    heard_earlier_records(topic, snapshot);
     topic.missed_records = false;
     topic.current_as_of = this->now() - std::clamp(snapshot.age, duration{}, max_age);
     this->merge_held_list(topic);
--- a/src/azureshore/sharing/internal/messages.cpp
+++ b/src/azureshore/sharing/internal/messages.cpp
@@ -10,8 +10,6 @@
 
 // Broadcasts that a daemon remembers to recognise further copies.
 constexpr std::size_t max_seen_broadcasts = 1024;
-// Daemons that are asked for what this one has missed.
-constexpr std::size_t pulled_daemons = 3;
 // How long after a pull this daemon reads records that it knows to be missing from the store.
 constexpr duration pull_timeout = std::chrono::milliseconds(200);
 // Limit on the total size of the records in one message, so that the message fits into a datagram.
--- a/src/azureshore/sharing/internal/reading.cpp
+++ b/src/azureshore/sharing/internal/reading.cpp
@@ -72,7 +72,11 @@
     // Other daemons may have told more while the store was listing.
     if (!topic.listed || next > topic.next) {
         topic.snapshot_unsent = again;
+        const bool restored = topic.listed && next.epoch > topic.next.epoch;
         this->apply_list(topic, next, {result.records, {}});
+        if (restored) {
+            this->seek_earlier_records(topic);
+        }
     }
     this->handle_store_success(topic, began);
     this->broadcast_unsent_snapshots();
--- a/src/azureshore/sharing/internal/sharing_constants.hpp
+++ b/src/azureshore/sharing/internal/sharing_constants.hpp
@@ -15,6 +15,8 @@
 // Daemons ranked before this read the store when the ones before them do not. Those ranked after it
 // ask other daemons first.
 inline constexpr std::size_t standby_reader_count = 4;
+// Daemons that are asked for what this one has missed.
+inline constexpr std::size_t pulled_daemons = 3;
 // Delay before a failed call to the store is retried.
 inline constexpr duration store_retry_delay = std::chrono::milliseconds(250);
 // Of the daemons that start and hear only from others that know nothing either, about this many
--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -83,6 +83,9 @@
         std::optional<held_list> held{};
         // The latest incomplete snapshots, the oldest first.
         std::deque<partial_snapshot> partial_snapshots{};
+        // This daemon listed a restored store itself and has not heard yet what others know from
+        // before.
+        bool seeks_earlier_records = false;
         // This daemon listed the topic again, and the others may lack what it took over.
         bool snapshot_unsent = false;
     };
@@ -169,7 +172,11 @@
     void broadcast_unsent_snapshots();
     [[nodiscard]] bool may_serve_snapshots() const;
     void handle_snapshot(const wire::topic_snapshot& snapshot);
-    // Takes what others know from before a restore after which this daemon started.
+    // Asks others until one has told what it knows from before the store was restored.
+    void seek_earlier_records(topic_state& topic);
+    void ask_for_earlier_records();
+    static void heard_earlier_records(topic_state& topic, const wire::topic_snapshot& snapshot);
+    // Takes what others know from before a restore if this daemon may lack it.
     void take_earlier_records(topic_state& topic, const wire::topic_snapshot& snapshot);
     void take_earlier_record(topic_state& topic, const wire::earlier_record& record);
     // Returns all records once every part has come.
--- a/tests/restored_store/restored_store_tests.cpp
+++ b/tests/restored_store/restored_store_tests.cpp
@@ -336,6 +336,82 @@
     cluster.check_known(shared_topic::operators, "out-of-service", "1");
 }
 
+// Guards against an older configuration on a daemon that missed the newer one, and that reaches the
+// restored store before it reaches the others.
+BOOST_AUTO_TEST_CASE(a_daemon_that_missed_a_record_before_a_restore_learns_it_from_the_others)
+{
+    constexpr std::size_t daemons = 13;
+    for (std::size_t late = 0; late < daemons; ++late) {
+        restored_cluster cluster(daemons, 21);
+        cluster.first_start = false;
+        cluster.store.take_backup();
+        cluster.disconnected.insert(late);
+        cluster.store.unanswered_callers.insert(cluster.name_of(late).value);
+        cluster.clock.run_for(1s);
+        cluster.store.put(sharing_cluster::operators, "config", "2");
+        cluster.store.put(sharing_cluster::operators, "out-of-service", "1");
+        cluster.clock.run_for(apply_bound);
+        cluster.store.restore_backup();
+        cluster.clock.run_for(1s);
+        cluster.store.unanswered_callers.clear();
+        cluster.clock.run_for(1s);
+        cluster.disconnected.clear();
+        cluster.clock.run_for(apply_bound);
+        BOOST_TEST_CONTEXT("late vm-" << late)
+        {
+            cluster.check_known(shared_topic::operators, "config", "2");
+            cluster.check_known(shared_topic::operators, "out-of-service", "1");
+        }
+    }
+}
+
+// The same for one that missed the others' news alone, just before the store was lost.
+BOOST_AUTO_TEST_CASE(a_daemon_that_missed_news_just_before_a_restore_learns_them_from_the_others)
+{
+    constexpr std::size_t daemons = 13;
+    for (std::size_t late = 0; late < daemons; ++late) {
+        restored_cluster cluster(daemons, 25);
+        cluster.first_start = false;
+        cluster.store.take_backup();
+        cluster.disconnected.insert(late);
+        cluster.store.unanswered_callers.insert(cluster.name_of(late).value);
+        cluster.store.put(sharing_cluster::operators, "config", "2");
+        cluster.clock.run_for(900ms);
+        cluster.store.unanswered_callers.insert("*");
+        cluster.clock.run_for(100ms);
+        cluster.store.restore_backup();
+        cluster.store.unanswered_callers.clear();
+        cluster.clock.run_for(1200ms);
+        cluster.disconnected.clear();
+        cluster.clock.run_for(apply_bound);
+        BOOST_TEST_CONTEXT("late vm-" << late)
+        cluster.check_known(shared_topic::operators, "config", "2");
+    }
+}
+
+// Guards against an older configuration on a daemon that starts and finds the others late.
+BOOST_AUTO_TEST_CASE(a_daemon_that_starts_apart_from_the_others_learns_what_a_restored_store_lacks)
+{
+    constexpr std::size_t daemons = 13;
+    for (const std::size_t started : {0UL, 7UL}) {
+        restored_cluster cluster(daemons, 23);
+        cluster.first_start = false;
+        cluster.store.take_backup();
+        cluster.store.put(sharing_cluster::operators, "config", "2");
+        cluster.clock.run_for(apply_bound);
+        cluster.kill(started);
+        cluster.store.restore_backup();
+        cluster.clock.run_for(100ms);
+        cluster.disconnected.insert(started);
+        cluster.start(started);
+        cluster.clock.run_for(4s);
+        cluster.disconnected.clear();
+        cluster.clock.run_for(apply_bound);
+        BOOST_TEST_CONTEXT("started vm-" << started)
+        cluster.check_known(shared_topic::operators, "config", "2");
+    }
+}
+
 // Guards against a daemon that finds no other one, because the restore lost their announcements and
 // the seeds are away.
 BOOST_AUTO_TEST_CASE(a_daemon_that_starts_after_a_restore_finds_the_others_without_seeds)
