Keep the parts of a read that failed before its end

No caller saw this. After a read of the store failed between two parts, nearly every daemon called the store: 59 of 60 and 294 of 300 in the new test.

Cause: since reads are continued at the size limit of an answer, the reader forgot the parts that it had read but not yet passed on when the next call failed, and news of the registrations stated the operators' position that only these parts reach. Every daemon then saw a gap that no other could close.

The parts are kept and passed on with the rest, and news state the position that has been passed on. The test allows the reader, the standby readers and the daemons that call at random by design, 41 in all; it failed for 60 and 300 daemons before.

--- a/src/azureshore/sharing/internal/messages.cpp
+++ b/src/azureshore/sharing/internal/messages.cpp
@@ -253,7 +253,12 @@
     news.topic = topic.kind;
     news.from = topic.recent_reads.front().first_offset;
     news.next = topic.next;
-    news.operators_next = this->topic_for(wire::shared_topic::operators).next;
+    const auto& operators = this->topic_for(wire::shared_topic::operators);
+    news.operators_next = operators.next;
+    if (operators.read_incomplete && !operators.recent_reads.empty()) {
+        // The parts read so far have not been passed on.
+        news.operators_next.offset = operators.recent_reads.back().first_offset;
+    }
     news.members_digest = this->known_members.digest();
     for (const auto& each : topic.recent_reads) {
         news.records.insert(news.records.end(), each.records.begin(), each.records.end());
--- a/src/azureshore/sharing/internal/reading.cpp
+++ b/src/azureshore/sharing/internal/reading.cpp
@@ -254,7 +254,10 @@
 {
     topic.last_call_failed = true;
     topic.read_again = false;
-    topic.recent_reads.clear();
+    // The parts of a read that was to be continued have not been passed on yet.
+    if (!topic.read_incomplete) {
+        topic.recent_reads.clear();
+    }
     // The store may refuse this daemon alone, or its link to the store may be cut.
     if (std::exchange(topic.missed_records, false)) {
         this->pull_from_others();
--- a/tests/restored_store/restored_store_tests.cpp
+++ b/tests/restored_store/restored_store_tests.cpp
@@ -412,6 +412,50 @@
     }
 }
 
+// Guards against a call to the store by every daemon, because the reader forgot what it had not
+// passed on yet when its read failed between two parts.
+BOOST_DATA_TEST_CASE(a_read_that_fails_between_its_parts_makes_few_daemons_call_the_store,
+                     fleet_sizes, daemons)
+{
+    // The reader, the four standby readers, and those that call at random, 98 within the bound,
+    // from 0.58 of the bound without news on until the store counts as lost at 0.95 of it.
+    constexpr std::size_t most_callers = 1 + 4 + 98 * (95 - 58) / 100;
+    constexpr std::size_t records_per_read = 3;
+    for (const auto kind : {shared_topic::registrations, shared_topic::operators}) {
+        const auto* const topic = kind == shared_topic::operators ? sharing_cluster::operators
+                                                                  : sharing_cluster::registrations;
+        restored_cluster cluster(daemons, 27);
+        std::size_t reader = 0;
+        while (cluster.members_of(reader).rank() != 0) {
+            ++reader;
+        }
+        cluster.store.max_records_per_read = records_per_read;
+        for (int i = 0; i < 40; ++i) {
+            cluster.store.put(topic, "key-" + std::to_string(i), "1");
+        }
+        auto& sharing = cluster.sharing_of(reader);
+        const auto before = sharing.next_position(kind).offset;
+        while (sharing.next_position(kind).offset < before + 2 * records_per_read) {
+            cluster.clock.run_for(1ms);
+        }
+        cluster.store.unanswered_callers.insert(cluster.name_of(reader).value);
+        cluster.clock.run_for(7ms);
+        cluster.store.unanswered_callers.clear();
+        const auto calls = cluster.store.calls_by;
+        cluster.clock.run_for(4s);
+        std::size_t callers = 0;
+        for (const auto& [caller, count] : cluster.store.calls_by) {
+            const auto found = calls.find(caller);
+            callers += found == calls.end() || found->second < count ? 1 : 0;
+        }
+        BOOST_TEST_CONTEXT("topic " << topic)
+        {
+            BOOST_TEST(callers <= most_callers);
+            cluster.check_known(kind, "key-39", "1");
+        }
+    }
+}
+
 // Guards against a daemon that finds no other one, because the restore lost their announcements and
 // the seeds are away.
 BOOST_AUTO_TEST_CASE(a_daemon_that_starts_after_a_restore_finds_the_others_without_seeds)
