Tell which run of a backend server was removed

A backend server that had started again under its id got no requests from a gateway that another one had told of the earlier run's removal: the gateway left the later run out of a restored list, or removed it, until its registration changed by more than its sequence.

Cause: a told removal held only the id, so it could not be compared with a registration.

Ruled out: a comparison of offsets, as those of before and after a restore have no order.

A registration of a later run, or a later one of the same run, is kept; a removal whose value is unknown changes nothing. The tests call apply_earlier_removal with the registration that was removed instead of its id, which is all that differs in them; they are part of the tests of balance now. The fake daemons of the sharing tests compare the same way, and a further case plays a later run in a second restored store.

--- a/src/azureshore/balance/backend_registry.cpp
+++ b/src/azureshore/balance/backend_registry.cpp
@@ -45,8 +45,7 @@
     if (const auto found = this->entries.find(incoming.id); found != this->entries.end()) {
         return older(found->second.last.started_at, found->second.last.sequence);
     }
-    if (const auto found = this->tombstones.find(incoming.id);
-        found != this->tombstones.end() && found->second.seen) {
+    if (const auto found = this->tombstones.find(incoming.id); found != this->tombstones.end()) {
         return older(found->second.started_at, found->second.sequence + 1);
     }
     return false;
@@ -54,10 +53,6 @@
 
 bool backend_registry::is_outdated_after_restore(const registration& incoming) const
 {
-    const auto removed = this->tombstones.find(incoming.id);
-    if (removed != this->tombstones.end() && !removed->second.seen) {
-        return true;
-    }
     if (incoming.started_at != 0) {
         return this->is_outdated(incoming);
     }
@@ -65,9 +60,15 @@
         return found->second.last.endpoint == incoming.endpoint &&
                incoming.sequence < found->second.last.sequence;
     }
+    const auto removed = this->tombstones.find(incoming.id);
     return removed != this->tombstones.end() && incoming.sequence <= removed->second.sequence;
 }
 
+bool backend_registry::was_removed_since(const registration& listed) const
+{
+    return !this->entries.contains(listed.id) && this->is_outdated_after_restore(listed);
+}
+
 bool backend_registry::is_lapse_likely(time_point now) const
 {
     return this->store_unavailable ||
@@ -146,16 +147,17 @@
     return this->apply_registration(incoming);
 }
 
-bool backend_registry::apply_earlier_removal(const backend_id& id)
+bool backend_registry::apply_earlier_removal(const registration& last)
 {
-    if (this->entries.contains(id)) {
-        this->remove(id, "unregistered");
-        return true;
+    if (this->is_outdated_after_restore(last)) {
+        return false;
     }
-    if (!this->tombstones.contains(id)) {
-        this->add_tombstone(id, {0, 0, false});
+    const bool known = this->entries.contains(last.id);
+    if (known) {
+        this->remove(last.id, "unregistered");
     }
-    return false;
+    this->add_tombstone(last);
+    return known;
 }
 
 void backend_registry::remove_missing(time_point now, const std::set<backend_id>& present)
@@ -206,18 +208,18 @@
     }
 }
 
-void backend_registry::add_tombstone(const backend_id& id, const tombstone& last)
+void backend_registry::add_tombstone(const registration& last)
 {
     if (this->tombstones.size() >= max_tombstones) {
         this->tombstones.erase(this->tombstones.begin());
     }
-    this->tombstones[id] = last;
+    this->tombstones[last.id] = {last.started_at, last.sequence};
 }
 
 void backend_registry::remove(const backend_id& id, const std::string& reason)
 {
     const auto found = this->entries.find(id);
-    this->add_tombstone(id, {found->second.last.started_at, found->second.last.sequence});
+    this->add_tombstone(found->second.last);
     this->entries.erase(found);
     this->hooks.removed(id, reason);
 }
--- a/src/azureshore/balance/backend_registry.hpp
+++ b/src/azureshore/balance/backend_registry.hpp
@@ -38,10 +38,16 @@
     // that are older than the known state of their backend server.
     std::set<backend_id> merge_restored_list(time_point now, const std::vector<registration>& all);
 
-    // Applies a registration, or a removal, that another daemon knows from before the store was
-    // restored. Returns whether it is newer than what is known.
+    // Applies a registration that another daemon knows from before the store was restored. Returns
+    // whether it is newer than what is known.
     bool apply_earlier_registration(const registration& incoming);
-    bool apply_earlier_removal(const backend_id& id);
+    // Applies a removal that another daemon knows. `last` is the registration before it; a later
+    // one is kept. Returns whether the backend server was removed.
+    bool apply_earlier_removal(const registration& last);
+
+    // Whether the backend server is known to have been removed since a registration from a restored
+    // store.
+    [[nodiscard]] bool was_removed_since(const registration& listed) const;
 
     // To be called when the store stops and starts answering.
     void store_became_unavailable();
@@ -61,16 +67,13 @@
     struct tombstone {
         std::int64_t started_at = 0;
         std::uint64_t sequence = 0;
-        // Whether the backend server's last state is known. If not, another daemon told that it is
-        // gone.
-        bool seen = true;
     };
 
     // Whether a registration is older than the latest one of that backend server.
     [[nodiscard]] bool is_outdated(const registration& incoming) const;
     // The same for one from a restored store, where a lower sequence of an unknown run is older.
     [[nodiscard]] bool is_outdated_after_restore(const registration& incoming) const;
-    void add_tombstone(const backend_id& id, const tombstone& last);
+    void add_tombstone(const registration& last);
     void remove_missing(time_point now, const std::set<backend_id>& present);
     [[nodiscard]] bool is_lapse_likely(time_point now) const;
     void remove(const backend_id& id, const std::string& reason);
--- a/src/azureshore/daemon/internal/gateway_store.cpp
+++ b/src/azureshore/daemon/internal/gateway_store.cpp
@@ -290,13 +290,21 @@
 bool gateway_store::take_earlier_registration(const wire::earlier_record& earlier)
 {
     if (!earlier.record.value) {
-        return this->registry.apply_earlier_removal(backend_id{earlier.record.key});
+        return this->take_earlier_removal(earlier.record);
     }
     const auto read = this->platform.read_registration(
         {earlier.record.offset, earlier.record.key, earlier.record.value});
     return read.ok() && this->registry.apply_earlier_registration(*read);
 }
 
+// A removal that does not tell what was removed can't be told from that of an earlier run.
+bool gateway_store::take_earlier_removal(const wire::shared_record& removal)
+{
+    const auto last =
+        this->platform.read_registration({removal.offset, removal.key, removal.dropped_value});
+    return last.ok() && this->registry.apply_earlier_removal(*last);
+}
+
 void gateway_store::keep_unconfirmed(const data_centre_id& name, duration valid_for)
 {
     this->unconfirmed.insert_or_assign(name, steady_now() + valid_for);
@@ -351,8 +359,13 @@
     for (const auto& each : earlier) {
         const auto listed = newest.find(each.record.key);
         if (!each.record.value) {
-            newest.erase(each.record.key);
-            this->registry.apply_earlier_removal(backend_id{each.record.key});
+            this->take_earlier_removal(each.record);
+            if (listed != newest.end()) {
+                const auto read = this->platform.read_registration(listed->second);
+                if (read.ok() && this->registry.was_removed_since(*read)) {
+                    newest.erase(listed);
+                }
+            }
         }
         else if (listed != newest.end()) {
             listed->second.value = each.record.value;
--- a/src/azureshore/daemon/internal/gateway_store.hpp
+++ b/src/azureshore/daemon/internal/gateway_store.hpp
@@ -63,6 +63,7 @@
     bool changed(wire::shared_topic topic, const platform::keyed_record& record);
     bool take_earlier_operator_record(const wire::earlier_record& earlier);
     bool take_earlier_registration(const wire::earlier_record& earlier);
+    bool take_earlier_removal(const wire::shared_record& removal);
     void keep_unconfirmed(const data_centre_id& name, duration valid_for);
     void take_operator_record(const platform::keyed_record& record,
                               absl::StatusOr<operator_record> read);
--- a/src/azureshore/sharing/internal/earlier_records.cpp
+++ b/src/azureshore/sharing/internal/earlier_records.cpp
@@ -47,7 +47,8 @@
     if (!held) {
         return;
     }
-    this->apply_list(topic, {held->list.epoch, held->list.next_offset}, {held->list.records, {}});
+    this->apply_list(topic, {held->list.epoch, held->list.next_offset},
+                     {held->list.records, {}, {}});
     this->seek_earlier_records(topic);
     this->handle_store_success(topic, held->began);
     this->serve_waiting_daemons();
@@ -137,7 +138,8 @@
 {
     if (this->hooks.take_earlier_record(topic.kind, record)) {
         topic.earlier_records[record.record.key] = {
-            record.record.value, this->now() + std::clamp(record.valid_for, duration{}, max_age)};
+            record.record.value, this->now() + std::clamp(record.valid_for, duration{}, max_age),
+            record.record.dropped_value};
     }
 }
 
--- a/src/azureshore/sharing/internal/joining.cpp
+++ b/src/azureshore/sharing/internal/joining.cpp
@@ -339,7 +339,12 @@
     snapshot_content content;
     for (const auto& [part_number, received] : found->parts) {
         for (const auto& each : received.records) {
-            content.records.push_back({each.offset, each.key, each.value});
+            if (each.value) {
+                content.records.push_back({each.offset, each.key, each.value});
+            }
+            else {
+                content.removals.push_back(each);
+            }
         }
         content.earlier_records.insert(content.earlier_records.end(),
                                        received.earlier_records.begin(),
--- a/src/azureshore/sharing/internal/messages.cpp
+++ b/src/azureshore/sharing/internal/messages.cpp
@@ -16,9 +16,14 @@
 // A single record above this limit is sent in a message of its own.
 constexpr std::size_t max_news_bytes = 32UL * 1024UL;
 
+std::size_t byte_size(const std::optional<std::string>& text)
+{
+    return text ? text->size() : 0;
+}
+
 std::size_t byte_size(const wire::shared_record& record)
 {
-    return record.key.size() + (record.value ? record.value->size() : 0);
+    return record.key.size() + byte_size(record.value) + byte_size(record.dropped_value);
 }
 
 std::size_t byte_size(const wire::earlier_record& earlier)
@@ -69,15 +74,16 @@
     for (const auto& [key, newest] : topic.newest_records) {
         records.push_back(newest.record);
     }
-    for (const auto& [offset, key] : topic.removed_keys) {
-        if (!topic.newest_records.contains(key)) {
-            records.push_back({offset, key, std::nullopt});
+    for (const auto& [offset, removed] : topic.removed_keys) {
+        if (!topic.newest_records.contains(removed.key)) {
+            records.push_back({offset, removed.key, std::nullopt, removed.dropped_value});
         }
     }
     std::vector<wire::earlier_record> earlier_records;
     for (const auto& [key, each] : topic.earlier_records) {
         if (each.valid_until > now) {
-            earlier_records.push_back({{0, key, each.value}, each.valid_until - now});
+            earlier_records.push_back(
+                {{0, key, each.value, each.dropped_value}, each.valid_until - now});
         }
     }
     wire::topic_snapshot part;
@@ -159,7 +165,7 @@
     }
     for (auto removed = topic.removed_keys.lower_bound(from.offset);
          removed != topic.removed_keys.end(); ++removed) {
-        changes.records.push_back({removed->first, removed->second, std::nullopt});
+        changes.records.push_back({removed->first, removed->second.key, std::nullopt});
     }
     std::sort(changes.records.begin(), changes.records.end(),
               [](const auto& left, const auto& right) { return left.offset < right.offset; });
@@ -387,7 +393,7 @@
     }
     return !record.value ||
            std::any_of(topic.removed_keys.lower_bound(record.offset), topic.removed_keys.end(),
-                       [&](const auto& removed) { return removed.second == record.key; });
+                       [&](const auto& removed) { return removed.second.key == record.key; });
 }
 
 void store_sharing::state::report_dropped_record(const topic_state& topic,
--- a/src/azureshore/sharing/internal/reading.cpp
+++ b/src/azureshore/sharing/internal/reading.cpp
@@ -73,7 +73,7 @@
     if (!topic.listed || next > topic.next) {
         topic.snapshot_unsent = again;
         const bool restored = topic.listed && next.epoch > topic.next.epoch;
-        this->apply_list(topic, next, {result.records, {}});
+        this->apply_list(topic, next, {result.records, {}, {}});
         if (restored) {
             this->seek_earlier_records(topic);
         }
--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -37,10 +37,16 @@
         wire::shared_record record;
         std::uint64_t changed_offset = 0;
     };
-    // A record from before the store was restored.
+    // A record from before the store was restored, as in wire::shared_record.
     struct kept_record {
         std::optional<std::string> value;
         time_point valid_until;
+        std::optional<std::string> dropped_value{};
+    };
+    struct removed_key {
+        std::string key;
+        // What the key held before, if known.
+        std::optional<std::string> dropped_value;
     };
     // A list of a restored store that this daemon does not use before others had time to answer.
     struct held_list {
@@ -54,8 +60,15 @@
     };
     struct snapshot_content {
         std::vector<platform::keyed_record> records;
+        std::vector<wire::shared_record> removals;
         std::vector<wire::earlier_record> earlier_records;
     };
+    // What a daemon knew of a topic before it listed the topic again.
+    struct topic_content {
+        std::map<std::string, newest_record> newest_records;
+        std::map<std::uint64_t, removed_key> removed_keys;
+        std::map<std::string, kept_record> earlier_records;
+    };
     struct topic_state {
         wire::shared_topic kind;
         platform::keyed_topic store;
@@ -75,7 +88,7 @@
         bool read_incomplete = false;
         std::map<std::string, newest_record> newest_records{};
         // Removals by offset. Those before history_begin are not known.
-        std::map<std::uint64_t, std::string> removed_keys{};
+        std::map<std::uint64_t, removed_key> removed_keys{};
         std::uint64_t history_begin = 0;
         // What this daemon knows from before the store was restored, where the store lacks it or
         // has it older, by key, until the key is written again.
@@ -129,14 +142,10 @@
                     const snapshot_content& content);
     // The records of a further list in the same epoch, after which what is known from before the
     // store was restored still holds.
-    void replace_records(topic_state& topic,
-                         const std::map<std::string, newest_record>& known_records,
-                         const std::map<std::string, kept_record>& known_earlier,
+    void replace_records(topic_state& topic, const topic_content& known,
                          const std::vector<platform::keyed_record>& records);
     // The records of a restored store, merged with what is known from before.
-    void merge_restored_list(topic_state& topic,
-                             const std::map<std::string, newest_record>& known_records,
-                             const std::map<std::string, kept_record>& known_earlier,
+    void merge_restored_list(topic_state& topic, const topic_content& known,
                              const std::vector<platform::keyed_record>& records);
     void report_restore(const topic_state& topic, const wire::topic_position& next) const;
     bool apply_record(topic_state& topic, const platform::keyed_record& record);
--- a/src/azureshore/sharing/store_sharing.cpp
+++ b/src/azureshore/sharing/store_sharing.cpp
@@ -8,6 +8,19 @@
 
 namespace azureshore::sharing {
 
+namespace {
+
+// What a key held before it was last dropped, if known.
+template <class RemovedKeys>
+std::optional<std::string> dropped_value_of(const RemovedKeys& removed_keys, const std::string& key)
+{
+    const auto last = std::find_if(removed_keys.rbegin(), removed_keys.rend(),
+                                   [&](const auto& each) { return each.second.key == key; });
+    return last == removed_keys.rend() ? std::nullopt : last->second.dropped_value;
+}
+
+} // namespace
+
 store_sharing::state::state(sharing_settings own_settings, shared_topics store_topics,
                             sharing_hooks owner_hooks)
     : known_members({own_settings.self, own_settings.own_address, own_settings.data_centre,
@@ -58,77 +71,78 @@
     topic.next = next;
     topic.history_begin = next.offset;
     topic.recent_reads.clear();
-    topic.removed_keys.clear();
-    const auto known_records = std::exchange(topic.newest_records, {});
-    const auto known_earlier = std::exchange(topic.earlier_records, {});
-    auto earlier = content.earlier_records;
-    std::vector<platform::keyed_record> present;
+    const topic_content known{std::exchange(topic.newest_records, {}),
+                              std::exchange(topic.removed_keys, {}),
+                              std::exchange(topic.earlier_records, {})};
     for (const auto& each : content.records) {
-        if (each.value) {
-            topic.newest_records[each.key] = {{each.offset, each.key, each.value}, each.offset};
-            present.push_back(each);
-        }
-        else {
-            topic.removed_keys[each.offset] = each.key;
-            earlier.push_back({{each.offset, each.key, std::nullopt}, max_age});
-        }
+        topic.newest_records[each.key] = {{each.offset, each.key, each.value}, each.offset};
+    }
+    auto earlier = content.earlier_records;
+    for (const auto& each : content.removals) {
+        topic.removed_keys[each.offset] = {each.key, each.dropped_value};
+        earlier.push_back({each, max_age});
     }
     if (first) {
-        this->hooks.replace_records(topic.kind, present, earlier);
+        this->hooks.replace_records(topic.kind, content.records, earlier);
         for (const auto& each : content.earlier_records) {
-            topic.earlier_records[each.record.key] = {each.record.value,
-                                                      this->now() + each.valid_for};
+            topic.earlier_records[each.record.key] = {
+                each.record.value, this->now() + each.valid_for, each.record.dropped_value};
         }
         return;
     }
     if (restored) {
-        this->merge_restored_list(topic, known_records, known_earlier, present);
+        this->merge_restored_list(topic, known, content.records);
     }
     else {
-        this->replace_records(topic, known_records, known_earlier, present);
+        this->replace_records(topic, known, content.records);
     }
     for (const auto& each : content.earlier_records) {
         this->take_earlier_record(topic, each);
     }
 }
 
-void store_sharing::state::replace_records(
-    topic_state& topic, const std::map<std::string, newest_record>& known_records,
-    const std::map<std::string, kept_record>& known_earlier,
-    const std::vector<platform::keyed_record>& records)
+void store_sharing::state::replace_records(topic_state& topic, const topic_content& known,
+                                           const std::vector<platform::keyed_record>& records)
 {
     std::vector<wire::earlier_record> still_newer;
-    for (const auto& [key, each] : known_earlier) {
+    for (const auto& [key, each] : known.earlier_records) {
         const auto listed = topic.newest_records.find(key);
-        const auto before = known_records.find(key);
+        const auto before = known.newest_records.find(key);
         const bool same_record = listed != topic.newest_records.end() &&
-                                 before != known_records.end() &&
+                                 before != known.newest_records.end() &&
                                  listed->second.record == before->second.record;
         const bool still_lacking =
-            listed == topic.newest_records.end() && before == known_records.end();
+            listed == topic.newest_records.end() && before == known.newest_records.end();
         if ((same_record || still_lacking) && each.valid_until > this->now()) {
             topic.earlier_records.emplace(key, each);
-            still_newer.push_back({{0, key, each.value}, each.valid_until - this->now()});
+            still_newer.push_back(
+                {{0, key, each.value, each.dropped_value}, each.valid_until - this->now()});
         }
     }
     this->hooks.replace_records(topic.kind, records, still_newer);
 }
 
-void store_sharing::state::merge_restored_list(
-    topic_state& topic, const std::map<std::string, newest_record>& known_records,
-    const std::map<std::string, kept_record>& known_earlier,
-    const std::vector<platform::keyed_record>& records)
+void store_sharing::state::merge_restored_list(topic_state& topic, const topic_content& known,
+                                               const std::vector<platform::keyed_record>& records)
 {
     const auto now = this->now();
     for (const auto& key : this->hooks.merge_restored_records(topic.kind, records)) {
-        const auto kept = known_earlier.find(key);
-        const auto known = known_records.find(key);
+        const auto kept = known.earlier_records.find(key);
+        const auto before = known.newest_records.find(key);
         kept_record newer{std::nullopt, now + max_age};
-        if (kept != known_earlier.end()) {
+        if (kept != known.earlier_records.end()) {
             newer.value = kept->second.value;
+            newer.dropped_value = kept->second.dropped_value;
+        }
+        else if (before != known.newest_records.end()) {
+            newer.value = before->second.record.value;
         }
-        else if (known != known_records.end()) {
-            newer.value = known->second.record.value;
+        else {
+            newer.dropped_value = dropped_value_of(known.removed_keys, key);
+        }
+        if (!newer.value && !newer.dropped_value) {
+            // What was dropped is no older than what the store lists.
+            newer.dropped_value = topic.newest_records.at(key).record.value;
         }
         topic.earlier_records[key] = std::move(newer);
     }
@@ -136,13 +150,13 @@
         // Backend servers that the store lacks register again by themselves.
         return;
     }
-    for (const auto& [key, each] : known_earlier) {
+    for (const auto& [key, each] : known.earlier_records) {
         if (each.value && each.valid_until > now && !topic.newest_records.contains(key)) {
             topic.earlier_records.emplace(key, each);
         }
     }
-    for (const auto& [key, each] : known_records) {
-        if (!topic.newest_records.contains(key) && !known_earlier.contains(key)) {
+    for (const auto& [key, each] : known.newest_records) {
+        if (!topic.newest_records.contains(key) && !known.earlier_records.contains(key)) {
             topic.earlier_records.emplace(key, kept_record{each.record.value, now + rewrite_grace});
         }
     }
@@ -166,10 +180,19 @@
     // Limits the memory for removals; a daemon that missed older ones gets a snapshot.
     constexpr std::size_t max_removed_keys = 1024;
     const bool changed = this->hooks.apply_record(topic.kind, record);
-    topic.earlier_records.erase(record.key);
+    const auto earlier = topic.earlier_records.extract(record.key);
     if (!record.value) {
+        removed_key removed{record.key, std::nullopt};
+        if (earlier) {
+            removed.dropped_value =
+                earlier.mapped().value ? earlier.mapped().value : earlier.mapped().dropped_value;
+        }
+        else if (const auto known = topic.newest_records.find(record.key);
+                 known != topic.newest_records.end()) {
+            removed.dropped_value = known->second.record.value;
+        }
         topic.newest_records.erase(record.key);
-        topic.removed_keys[record.offset] = record.key;
+        topic.removed_keys[record.offset] = std::move(removed);
         if (topic.removed_keys.size() > max_removed_keys) {
             topic.history_begin =
                 std::max(topic.history_begin, topic.removed_keys.begin()->first + 1);
--- a/src/azureshore/wire/internal/fields.hpp
+++ b/src/azureshore/wire/internal/fields.hpp
@@ -71,7 +71,7 @@
 AZURESHORE_FIELDS(run_group, m.service, m.partition, m.entries);
 
 AZURESHORE_FIELDS(topic_position, m.epoch, m.offset);
-AZURESHORE_FIELDS(shared_record, m.offset, m.key, m.value);
+AZURESHORE_FIELDS(shared_record, m.offset, m.key, m.value, m.dropped_value);
 AZURESHORE_FIELDS(topic_news, m.reader, m.topic, m.from, m.next, m.records, m.operators_next,
                   m.members_digest, m.request_rate, m.ends_round, m.broadcast_id);
 AZURESHORE_FIELDS(member_hello, m.sender, m.members_digest, m.request_rate);
--- a/src/azureshore/wire/sharing_messages.hpp
+++ b/src/azureshore/wire/sharing_messages.hpp
@@ -37,6 +37,9 @@
     std::string key;
     // Nothing when the key was dropped.
     std::optional<std::string> value;
+    // What the key held before it was dropped, if known. Only snapshots tell it, so that their
+    // receivers can tell a value that was written since from one that was dropped.
+    std::optional<std::string> dropped_value{};
 
     bool operator==(const shared_record&) const = default;
 };
--- a/tests/balance/backend_registry_tests.cpp
+++ b/tests/balance/backend_registry_tests.cpp
@@ -201,7 +201,7 @@
             const auto older = plate_registration(3, started_at);
             BOOST_TEST(!fixture.registry.apply_earlier_registration(older));
             BOOST_TEST(fixture.changed.back().draining);
-            BOOST_TEST(fixture.registry.apply_earlier_removal(older.id));
+            BOOST_TEST(fixture.registry.apply_earlier_removal(draining));
             BOOST_TEST(fixture.registry.size() == 0U);
         }
     }
@@ -214,7 +214,7 @@
         {
             registry_fixture fixture;
             const auto listed = plate_registration(4, started_at);
-            BOOST_TEST(!fixture.registry.apply_earlier_removal(listed.id));
+            BOOST_TEST(!fixture.registry.apply_earlier_removal(listed));
             BOOST_TEST(fixture.registry.merge_restored_list(fixture.now, {listed}).size() == 1U);
             BOOST_TEST(fixture.registry.size() == 0U);
             BOOST_TEST(fixture.registry.apply_registration(plate_registration(5, started_at)));
--- a/tests/told_removals/told_removal_tests.cpp
+++ b/tests/balance/told_removal_tests.cpp
@@ -41,7 +41,7 @@
 BOOST_AUTO_TEST_CASE(a_later_run_in_a_restored_list_is_used_despite_a_told_removal)
 {
     auto registry = empty_registry();
-    registry.apply_earlier_removal({"plate-1"});
+    registry.apply_earlier_removal(plate(7, first_start));
     BOOST_TEST(registry.merge_restored_list(now, {plate(1, later_start)}).empty());
     BOOST_TEST(registry.size() == 1U);
 }
@@ -53,7 +53,7 @@
     registry.apply_registration(plate(7, first_start));
     registry.apply_removal(now, {"plate-1"});
     registry.apply_registration(plate(1, later_start));
-    registry.apply_earlier_removal({"plate-1"});
+    registry.apply_earlier_removal(plate(7, first_start));
     BOOST_TEST(registry.size() == 1U);
 }
 
@@ -65,7 +65,7 @@
     auto told = empty_registry();
     reader.apply_registration(plate(7, first_start));
     reader.apply_removal(now, {"plate-1"});
-    told.apply_earlier_removal({"plate-1"});
+    told.apply_earlier_removal(plate(7, first_start));
     reader.merge_restored_list(now, {plate(1, later_start)});
     told.merge_restored_list(now, {plate(1, later_start)});
     BOOST_REQUIRE(reader.size() == 1U);
--- a/tests/restored_store/restored_store_tests.cpp
+++ b/tests/restored_store/restored_store_tests.cpp
@@ -456,6 +456,35 @@
     }
 }
 
+// Guards against a daemon that leaves a backend server out although it has started again, because
+// others told the daemon of the removal of the earlier run.
+BOOST_AUTO_TEST_CASE(a_later_run_in_a_restored_store_is_used_by_a_daemon_that_was_told_of_a_removal)
+{
+    constexpr std::size_t daemons = 13;
+    constexpr std::size_t told = 7;
+    restored_cluster cluster(daemons, 31);
+    cluster.first_start = false;
+    cluster.store.put(sharing_cluster::registrations, "plate-2", "run 1");
+    cluster.store.take_backup();
+    cluster.store.put(sharing_cluster::registrations, "plate-2", std::nullopt);
+    cluster.clock.run_for(apply_bound);
+    cluster.kill(told);
+    cluster.store.restore_backup();
+    cluster.clock.run_for(apply_bound);
+    cluster.start(told);
+    cluster.clock.run_for(apply_bound);
+    cluster.check_known(shared_topic::registrations, "plate-2", "");
+    cluster.disconnected.insert(told);
+    cluster.store.unanswered_callers.insert(cluster.name_of(told).value);
+    cluster.store.put(sharing_cluster::registrations, "plate-2", "run 2");
+    cluster.store.take_backup();
+    cluster.store.restore_backup();
+    cluster.disconnected.clear();
+    cluster.store.unanswered_callers.clear();
+    cluster.clock.run_for(2 * apply_bound);
+    cluster.check_known(shared_topic::registrations, "plate-2", "run 2");
+}
+
 // Guards against a daemon that finds no other one, because the restore lost their announcements and
 // the seeds are away.
 BOOST_AUTO_TEST_CASE(a_daemon_that_starts_after_a_restore_finds_the_others_without_seeds)
--- a/tests/support/sharing_cluster.cpp
+++ b/tests/support/sharing_cluster.cpp
@@ -314,12 +314,31 @@
             values[each.record.key] = *each.record.value;
         }
         else {
-            values.erase(each.record.key);
-            this->removed_registrations.insert(each.record.key);
+            this->remove_registration(each.record);
         }
     }
 }
 
+bool sharing_cluster::daemon_process::is_removed(const std::string& key,
+                                                 const std::string& value) const
+{
+    const auto found = this->removed_registrations.find(key);
+    return found != this->removed_registrations.end() && value <= found->second;
+}
+
+bool sharing_cluster::daemon_process::remove_registration(const wire::shared_record& removal)
+{
+    auto& values = this->values_of(wire::shared_topic::registrations);
+    const auto known = values.find(removal.key);
+    const bool later = known != values.end() && known->second > removal.dropped_value;
+    if (!removal.dropped_value || later) {
+        return false;
+    }
+    auto& last = this->removed_registrations[removal.key];
+    last = std::max(last, *removal.dropped_value);
+    return values.erase(removal.key) > 0;
+}
+
 std::set<std::string> sharing_cluster::daemon_process::merge_restored_records(
     wire::shared_topic topic, const std::vector<platform::keyed_record>& records)
 {
@@ -329,7 +348,7 @@
     std::set<std::string> outdated;
     for (const auto& each : records) {
         if (topic == wire::shared_topic::registrations &&
-            this->removed_registrations.contains(each.key)) {
+            this->is_removed(each.key, each.value.value_or(""))) {
             outdated.insert(each.key);
             continue;
         }
@@ -354,10 +373,10 @@
                                                           const wire::earlier_record& earlier)
 {
     auto& values = this->values_of(topic);
-    const auto& [offset, key, value] = earlier.record;
+    const auto& key = earlier.record.key;
+    const auto& value = earlier.record.value;
     if (topic == wire::shared_topic::registrations) {
-        this->removed_registrations.insert(key);
-        return !value && values.erase(key) > 0;
+        return !value && this->remove_registration(earlier.record);
     }
     const auto known = values.find(key);
     const bool newer =
@@ -373,17 +392,16 @@
 {
     auto& values = this->values_of(topic);
     const auto value = record.value.value_or("");
-    const bool changed = values[record.key] != value;
-    values[record.key] = value;
+    const auto before = std::exchange(values[record.key], value);
     if (topic == wire::shared_topic::registrations) {
         if (record.value) {
             this->removed_registrations.erase(record.key);
         }
-        else {
-            this->removed_registrations.insert(record.key);
+        else if (!before.empty()) {
+            this->removed_registrations[record.key] = before;
         }
     }
-    return changed;
+    return before != value;
 }
 
 sharing::sharing_hooks sharing_cluster::hooks_of(std::size_t index,
--- a/tests/support/sharing_cluster.hpp
+++ b/tests/support/sharing_cluster.hpp
@@ -148,9 +148,15 @@
         bool take_earlier_record(wire::shared_topic topic, const wire::earlier_record& earlier);
         bool apply_record(wire::shared_topic topic, const platform::keyed_record& record);
 
+        // Whether a registration was dropped after it had held this value, or a later one.
+        [[nodiscard]] bool is_removed(const std::string& key, const std::string& value) const;
+        // Returns whether the registration was known.
+        bool remove_registration(const wire::shared_record& removal);
+
         std::map<std::string, std::string> known_values[2];
-        // Keys of registrations that were dropped.
-        std::set<std::string> removed_registrations;
+        // What dropped registrations held last, by key. Later values of a key sort behind earlier
+        // ones.
+        std::map<std::string, std::string> removed_registrations;
         std::unique_ptr<sharing::store_sharing> sharing;
     };
 
--- a/tests/wire/message_tests.cpp
+++ b/tests/wire/message_tests.cpp
@@ -92,7 +92,7 @@
                            std::chrono::milliseconds(3),
                            1,
                            2,
-                           {{4, "plate-1", std::nullopt}},
+                           {{4, "plate-1", std::nullopt, "ready"}},
                            80,
                            79,
                            {{{0, "plate-2", "draining"}, std::chrono::seconds(9)}}},
