Pass on the version in force when an older one is written again first

A gateway that started while the operators wrote again what a restored store had lost put an older version of the configuration in force, if that was written first. Gateways that ran kept the newer one.

Cause: a record of a key ended what was known of it from before the restore, whatever the record held.

Evidence: the new case in virtual time failed before on a seed and on another daemon (version 2 where 3 is in force). Ruled out: the daemons that run, which compare versions.

The owner of the records now says whether a record is outdated. Such a record is passed on like any other, as its offset counts, and what was known stays known from before the restore. The fake daemons of the sharing tests keep the latest version too, as those of the product do.

restored_store and sharing pass.

--- a/src/azureshore/daemon/internal/gateway_store.cpp
+++ b/src/azureshore/daemon/internal/gateway_store.cpp
@@ -212,13 +212,26 @@
                                                   : this->merge_registrations(records);
 }
 
-bool gateway_store::changed(wire::shared_topic topic, const platform::keyed_record& record)
+sharing::record_effect gateway_store::changed(wire::shared_topic topic,
+                                              const platform::keyed_record& record)
 {
     if (topic == wire::shared_topic::registrations) {
-        return this->take_registration(record);
+        return this->take_registration(record) ? sharing::record_effect::changed
+                                               : sharing::record_effect::unchanged;
     }
-    this->take_operator_record(record, this->platform.read_operator_record(record));
-    return true;
+    auto read = this->platform.read_operator_record(record);
+    const bool outdated = this->is_outdated(read);
+    this->take_operator_record(record, std::move(read));
+    return outdated ? sharing::record_effect::outdated : sharing::record_effect::changed;
+}
+
+bool gateway_store::is_outdated(const absl::StatusOr<operator_record>& read) const
+{
+    if (!read.ok()) {
+        return false;
+    }
+    const auto* next = std::get_if<balance::traffic_configuration>(&*read);
+    return next != nullptr && next->version < this->version;
 }
 
 void gateway_store::take_all_operator_records(const std::vector<platform::keyed_record>& records,
@@ -246,11 +259,10 @@
     std::set<data_centre_id> listed;
     for (const auto& each : records) {
         auto read = this->platform.read_operator_record(each);
+        if (this->is_outdated(read)) {
+            outdated.insert(each.key);
+        }
         if (read.ok()) {
-            const auto* next = std::get_if<balance::traffic_configuration>(&*read);
-            if (next != nullptr && next->version < this->version) {
-                outdated.insert(each.key);
-            }
             if (const auto* change = std::get_if<data_centre_service>(&*read)) {
                 listed.insert(change->name);
             }
--- a/src/azureshore/daemon/internal/gateway_store.hpp
+++ b/src/azureshore/daemon/internal/gateway_store.hpp
@@ -60,7 +60,9 @@
                 const std::vector<wire::earlier_record>& earlier);
     std::set<std::string> restored(wire::shared_topic topic,
                                    const std::vector<platform::keyed_record>& records);
-    bool changed(wire::shared_topic topic, const platform::keyed_record& record);
+    sharing::record_effect changed(wire::shared_topic topic, const platform::keyed_record& record);
+    // Whether a configuration is older than the latest one.
+    [[nodiscard]] bool is_outdated(const absl::StatusOr<operator_record>& read) const;
     bool take_earlier_operator_record(const wire::earlier_record& earlier);
     bool take_earlier_registration(const wire::earlier_record& earlier);
     bool take_earlier_removal(const wire::shared_record& removal);
--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -148,6 +148,7 @@
     void merge_restored_list(topic_state& topic, const topic_content& known,
                              const std::vector<platform::keyed_record>& records);
     void report_restore(const topic_state& topic, const wire::topic_position& next) const;
+    // Returns whether the others must be told of the record.
     bool apply_record(topic_state& topic, const platform::keyed_record& record);
     void announce();
     void list_members();
--- a/src/azureshore/sharing/store_sharing.cpp
+++ b/src/azureshore/sharing/store_sharing.cpp
@@ -179,8 +179,9 @@
 {
     // Limits the memory for removals; a daemon that missed older ones gets a snapshot.
     constexpr std::size_t max_removed_keys = 1024;
-    const bool changed = this->hooks.apply_record(topic.kind, record);
-    const auto earlier = topic.earlier_records.extract(record.key);
+    const auto effect = this->hooks.apply_record(topic.kind, record);
+    const bool is_news = effect != record_effect::unchanged;
+    auto earlier = topic.earlier_records.extract(record.key);
     if (!record.value) {
         removed_key removed{record.key, std::nullopt};
         if (earlier) {
@@ -198,14 +199,20 @@
                 std::max(topic.history_begin, topic.removed_keys.begin()->first + 1);
             topic.removed_keys.erase(topic.removed_keys.begin());
         }
-        return changed;
+        return is_news;
     }
     auto& newest = topic.newest_records[record.key];
+    if (effect == record_effect::outdated) {
+        const auto known = earlier ? earlier.mapped().value : newest.record.value;
+        if (known) {
+            topic.earlier_records[record.key] = {known, this->now() + max_age};
+        }
+    }
     newest.record = {record.offset, record.key, record.value};
-    if (changed) {
+    if (is_news) {
         newest.changed_offset = record.offset;
     }
-    return changed;
+    return is_news;
 }
 
 bool store_sharing::state::topics_listed() const
--- a/src/azureshore/sharing/store_sharing.hpp
+++ b/src/azureshore/sharing/store_sharing.hpp
@@ -6,6 +6,7 @@
 #include "azureshore/sharing/members.hpp"
 #include "azureshore/wire/message.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <set>
@@ -18,6 +19,15 @@
 // this long without.
 inline constexpr duration rewrite_grace = std::chrono::seconds(10);
 
+// What a record of a topic does to what a daemon knows.
+enum class record_effect : std::uint8_t {
+    unchanged,
+    changed,
+    // What the daemon knows is newer and stays in force, as when operators write again what a
+    // restored store has lost, an older version first.
+    outdated,
+};
+
 struct sharing_settings {
     vm_id self;
     // The address at which this daemon receives messages.
@@ -54,8 +64,8 @@
     // Takes a record that another daemon knows from before the store was restored, if it is newer
     // than what this daemon knows. Returns whether it was.
     std::function<bool(wire::shared_topic, const wire::earlier_record&)> take_earlier_record;
-    // Applies one record. Returns whether it changes what this daemon knows.
-    std::function<bool(wire::shared_topic, const platform::keyed_record&)> apply_record;
+    // Applies one record.
+    std::function<record_effect(wire::shared_topic, const platform::keyed_record&)> apply_record;
     // Reports that neither this daemon nor any other one that it hears from can read the store.
     std::function<void()> store_unavailable;
     // Reports that one of them can read the store again.
--- a/tests/restored_store/restored_store_tests.cpp
+++ b/tests/restored_store/restored_store_tests.cpp
@@ -289,6 +289,35 @@
     }
 }
 
+// Guards against an older configuration on a daemon that starts while the operators write again
+// what a restored store has lost, an older version first.
+BOOST_AUTO_TEST_CASE(an_older_version_that_is_written_again_first_is_not_passed_on_alone)
+{
+    constexpr std::size_t daemons = 13;
+    constexpr std::size_t seed_daemon = 0;
+    constexpr std::size_t other_daemon = 7;
+    for (const auto started : {seed_daemon, other_daemon}) {
+        restored_cluster cluster(daemons, 33);
+        cluster.first_start = false;
+        cluster.store.take_backup();
+        cluster.store.put(sharing_cluster::operators, "config", "2");
+        cluster.store.put(sharing_cluster::operators, "config", "3");
+        cluster.clock.run_for(apply_bound);
+        cluster.store.restore_backup();
+        cluster.clock.run_for(apply_bound);
+        cluster.store.put(sharing_cluster::operators, "config", "2");
+        cluster.clock.run_for(apply_bound);
+        cluster.kill(started);
+        cluster.start(started);
+        cluster.clock.run_for(apply_bound);
+        BOOST_TEST_CONTEXT("started vm-" << started)
+        cluster.check_known(shared_topic::operators, "config", "3");
+        cluster.store.put(sharing_cluster::operators, "config", "4");
+        cluster.clock.run_for(apply_bound);
+        cluster.check_known(shared_topic::operators, "config", "4");
+    }
+}
+
 // Guards against a data centre that stays out of service for each daemon that starts, although the
 // operators have not written that again.
 BOOST_AUTO_TEST_CASE(what_a_restored_store_lacks_is_passed_on_for_a_limited_time)
--- a/tests/support/sharing_cluster.cpp
+++ b/tests/support/sharing_cluster.cpp
@@ -26,6 +26,12 @@
     return network * hosts_per_network + std::stoul(where.host.substr(last_dot + 1)) - 1;
 }
 
+// Versions of the configuration are whole numbers.
+bool is_earlier_version(const std::string& left, const std::string& right)
+{
+    return left.size() != right.size() ? left.size() < right.size() : left < right;
+}
+
 data_centre_id data_centre_of(std::size_t daemon)
 {
     return {"data-centre-" + std::to_string(daemon % 3)};
@@ -361,7 +367,7 @@
             }
         }
         const auto version = known.find("config");
-        if (version != known.end() && version->second > values["config"]) {
+        if (version != known.end() && is_earlier_version(values["config"], version->second)) {
             values["config"] = version->second;
             outdated.insert("config");
         }
@@ -379,19 +385,24 @@
         return !value && this->remove_registration(earlier.record);
     }
     const auto known = values.find(key);
-    const bool newer =
-        value && (known == values.end() || (key == "config" && known->second < *value));
+    const bool newer = value && (known == values.end() ||
+                                 (key == "config" && is_earlier_version(known->second, *value)));
     if (newer) {
         values[key] = *value;
     }
     return newer;
 }
 
-bool sharing_cluster::daemon_process::apply_record(wire::shared_topic topic,
-                                                   const platform::keyed_record& record)
+sharing::record_effect
+sharing_cluster::daemon_process::apply_record(wire::shared_topic topic,
+                                              const platform::keyed_record& record)
 {
     auto& values = this->values_of(topic);
     const auto value = record.value.value_or("");
+    if (topic == wire::shared_topic::operators && record.key == "config" &&
+        is_earlier_version(value, values[record.key])) {
+        return sharing::record_effect::outdated;
+    }
     const auto before = std::exchange(values[record.key], value);
     if (topic == wire::shared_topic::registrations) {
         if (record.value) {
@@ -401,7 +412,7 @@
             this->removed_registrations[record.key] = before;
         }
     }
-    return before != value;
+    return before != value ? sharing::record_effect::changed : sharing::record_effect::unchanged;
 }
 
 sharing::sharing_hooks sharing_cluster::hooks_of(std::size_t index,
--- a/tests/support/sharing_cluster.hpp
+++ b/tests/support/sharing_cluster.hpp
@@ -146,7 +146,8 @@
         merge_restored_records(wire::shared_topic topic,
                                const std::vector<platform::keyed_record>& records);
         bool take_earlier_record(wire::shared_topic topic, const wire::earlier_record& earlier);
-        bool apply_record(wire::shared_topic topic, const platform::keyed_record& record);
+        sharing::record_effect apply_record(wire::shared_topic topic,
+                                            const platform::keyed_record& record);
 
         // Whether a registration was dropped after it had held this value, or a later one.
         [[nodiscard]] bool is_removed(const std::string& key, const std::string& value) const;
