Ask other data centres what they know from before a restore

The gateways of a data centre that was cut off from the store and the others kept the configuration of a restored store's copy, and used a data centre that the others knew to be out of service, until the operators had written both again.

Cause: a daemon that listed a restored store asked three others what they knew from before, three in four of them in its own data centre, and the first answer ended the search. That one had been cut off with it and knew no more. Daemons that took its list over learned nothing at all, as they don't ask.

Ruled out: lost messages, as none are lost there.

Such a daemon now asks members of other data centres too, takes further answers for 0.3 s after the first, and sends what it learns along the trees. A daemon takes it from any sender that knows the topic as far as itself.

--- a/src/azureshore/sharing/internal/earlier_records.cpp
+++ b/src/azureshore/sharing/internal/earlier_records.cpp
@@ -16,6 +16,8 @@
 // For this long after its start, a daemon that listed the store itself takes newer records from
 // others that know them from before the store was restored.
 constexpr duration earlier_records_window = std::chrono::seconds(3);
+// For this long after the first answer, a daemon that listed a restored store takes further ones.
+constexpr duration further_answers_window = std::chrono::milliseconds(300);
 // The time between two questions to others by a daemon that listed a restored store.
 constexpr duration earlier_records_retry_delay = std::chrono::milliseconds(500);
 
@@ -72,21 +74,28 @@
                      [](const auto& each) { return each.seeks_earlier_records; })) {
         return;
     }
-    this->send_to(this->random_members(pulled_daemons),
-                  wire::topics_pull{this->known_members.self(), this->topics[0].next,
-                                    this->topics[1].next, true, 0});
+    // Those of the same data centre may have been cut off together with this daemon.
+    auto asked = this->random_members(pulled_daemons);
+    for (const auto& each : this->random_remote_members(pulled_daemons)) {
+        if (std::find(asked.begin(), asked.end(), each) == asked.end()) {
+            asked.push_back(each);
+        }
+    }
+    this->send_to(asked, wire::topics_pull{this->known_members.self(), this->topics[0].next,
+                                           this->topics[1].next, true, 0});
     this->run_after(this->jittered(earlier_records_retry_delay),
                     [](state& self) { self.ask_for_earlier_records(); });
 }
 
 void store_sharing::state::heard_earlier_records(topic_state& topic,
-                                                 const wire::topic_snapshot& snapshot)
+                                                 const wire::topic_snapshot& snapshot) const
 {
     // Only an answer tells what its sender knows: a broadcast may come from another daemon that
     // listed the restored store. What is known from before stands in the last part.
     if (snapshot.broadcast_id == 0 && snapshot.part + 1 == snapshot.parts &&
-        snapshot.next.epoch == topic.next.epoch) {
-        topic.seeks_earlier_records = false;
+        snapshot.next.epoch == topic.next.epoch &&
+        std::exchange(topic.seeks_earlier_records, false)) {
+        topic.answers_taken_until = this->now() + further_answers_window;
     }
 }
 
@@ -110,17 +119,23 @@
 void store_sharing::state::take_earlier_records(topic_state& topic,
                                                 const wire::topic_snapshot& snapshot)
 {
-    if (this->now() - this->started_at >= earlier_records_window && !topic.seeks_earlier_records) {
+    const bool looks_for_them = this->now() - this->started_at < earlier_records_window ||
+                                topic.seeks_earlier_records ||
+                                this->now() < topic.answers_taken_until;
+    // A sender that knows all that this daemon knows has dropped what was written again.
+    if (!looks_for_them && snapshot.next != topic.next) {
         return;
     }
     if (snapshot.next.epoch == topic.next.epoch) {
+        bool learned = false;
         for (const auto& each : snapshot.earlier_records) {
             const auto known = topic.newest_records.find(each.record.key);
             const bool written_again = known != topic.newest_records.end() &&
                                        known->second.record.offset >= snapshot.next.offset;
-            if (!written_again) {
-                this->take_earlier_record(topic, each);
-            }
+            learned = (!written_again && this->take_earlier_record(topic, each)) || learned;
+        }
+        if (learned && std::exchange(topic.restore_passed_on, false)) {
+            this->broadcast_snapshot(topic);
         }
         return;
     }
@@ -133,14 +148,16 @@
     }
 }
 
-void store_sharing::state::take_earlier_record(topic_state& topic,
+bool store_sharing::state::take_earlier_record(topic_state& topic,
                                                const wire::earlier_record& record)
 {
-    if (this->hooks.take_earlier_record(topic.kind, record)) {
-        topic.earlier_records[record.record.key] = {
-            record.record.value, this->now() + std::clamp(record.valid_for, duration{}, max_age),
-            record.record.dropped_value};
+    if (!this->hooks.take_earlier_record(topic.kind, record)) {
+        return false;
     }
+    topic.earlier_records[record.record.key] = {
+        record.record.value, this->now() + std::clamp(record.valid_for, duration{}, max_age),
+        record.record.dropped_value};
+    return true;
 }
 
 } // namespace azureshore::sharing
--- a/src/azureshore/sharing/internal/membership.cpp
+++ b/src/azureshore/sharing/internal/membership.cpp
@@ -233,6 +233,21 @@
     return chosen;
 }
 
+std::vector<wire::member_entry> store_sharing::state::random_remote_members(std::size_t count)
+{
+    auto candidates = this->known_members.others();
+    std::erase_if(candidates, [this](const wire::member_entry& each) {
+        return each.data_centre == this->settings.data_centre;
+    });
+    std::vector<wire::member_entry> chosen;
+    while (chosen.size() < count && !candidates.empty()) {
+        const auto index = uniform_index(this->hooks.random, candidates.size());
+        chosen.push_back(std::exchange(candidates[index], candidates.back()));
+        candidates.pop_back();
+    }
+    return chosen;
+}
+
 void store_sharing::state::leave()
 {
     this->leaving = true;
--- a/src/azureshore/sharing/internal/messages.cpp
+++ b/src/azureshore/sharing/internal/messages.cpp
@@ -125,17 +125,21 @@
         return;
     }
     for (auto& topic : this->topics) {
-        if (!std::exchange(topic.snapshot_unsent, false)) {
-            continue;
-        }
-        for (auto& part : this->snapshot_of(topic)) {
-            part.broadcast_id = this->hooks.random();
-            this->first_receipt(part.broadcast_id);
-            this->broadcast(part);
+        if (std::exchange(topic.snapshot_unsent, false)) {
+            this->broadcast_snapshot(topic);
         }
     }
 }
 
+void store_sharing::state::broadcast_snapshot(const topic_state& topic)
+{
+    for (auto& part : this->snapshot_of(topic)) {
+        part.broadcast_id = this->hooks.random();
+        this->first_receipt(part.broadcast_id);
+        this->broadcast(part);
+    }
+}
+
 // Sends what has changed since a position, and how old this daemon's knowledge is.
 void store_sharing::state::send_update(const wire::member_entry& recipient, topic_state& topic,
                                        const wire::topic_position& from)
--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -99,6 +99,12 @@
         // This daemon listed a restored store itself and has not heard yet what others know from
         // before.
         bool seeks_earlier_records = false;
+        // Until when this daemon takes further answers, as the first one may come from a daemon
+        // that has missed the same.
+        time_point answers_taken_until{};
+        // While it ran, this daemon listed a restored store, which others may have taken over from
+        // it without what it learns since.
+        bool restore_passed_on = false;
         // This daemon listed the topic again, and the others may lack what it took over.
         bool snapshot_unsent = false;
     };
@@ -180,15 +186,17 @@
     [[nodiscard]] std::vector<wire::topic_snapshot> snapshot_of(const topic_state& topic) const;
     void send_all_records(const wire::member_entry& recipient, const topic_state& topic);
     void broadcast_unsent_snapshots();
+    void broadcast_snapshot(const topic_state& topic);
     [[nodiscard]] bool may_serve_snapshots() const;
     void handle_snapshot(const wire::topic_snapshot& snapshot);
     // Asks others until one has told what it knows from before the store was restored.
     void seek_earlier_records(topic_state& topic);
     void ask_for_earlier_records();
-    static void heard_earlier_records(topic_state& topic, const wire::topic_snapshot& snapshot);
+    void heard_earlier_records(topic_state& topic, const wire::topic_snapshot& snapshot) const;
     // Takes what others know from before a restore if this daemon may lack it.
     void take_earlier_records(topic_state& topic, const wire::topic_snapshot& snapshot);
-    void take_earlier_record(topic_state& topic, const wire::earlier_record& record);
+    // Returns whether the record is newer than what this daemon knew.
+    bool take_earlier_record(topic_state& topic, const wire::earlier_record& record);
     // Returns all records once every part has come.
     static std::optional<snapshot_content> assemble_snapshot(topic_state& topic,
                                                              const wire::topic_snapshot& part);
@@ -241,6 +249,8 @@
     void compare_first_views(std::size_t comparisons_left);
     [[nodiscard]] double subtree_request_rate();
     std::vector<wire::member_entry> random_members(std::size_t count);
+    // Members of other data centres.
+    std::vector<wire::member_entry> random_remote_members(std::size_t count);
 
     sharing_settings settings;
     sharing_hooks hooks;
--- a/tests/restored_store/restored_store_tests.cpp
+++ b/tests/restored_store/restored_store_tests.cpp
@@ -418,6 +418,39 @@
     }
 }
 
+// The same for all daemons of a data centre that was cut off.
+BOOST_DATA_TEST_CASE(a_data_centre_that_missed_a_record_before_a_restore_learns_it_from_the_others,
+                     (std::vector<std::size_t>{13, 60}), daemons)
+{
+    constexpr std::size_t data_centres = 3;
+    constexpr std::size_t heal_times = 50;
+    const auto schedules = test_support::number_from("AZURESHORE_SCHEDULES", 60);
+    const auto first = test_support::number_from("AZURESHORE_SEED", 0);
+    for (std::uint64_t seed = first; seed < first + schedules; ++seed) {
+        restored_cluster cluster(daemons, seed);
+        cluster.first_start = false;
+        cluster.store.take_backup();
+        for (std::size_t i = seed % data_centres; i < daemons; i += data_centres) {
+            cluster.cut_apart.insert(i);
+            cluster.store.unanswered_callers.insert(cluster.name_of(i).value);
+        }
+        cluster.clock.run_for(1s);
+        cluster.store.put(sharing_cluster::operators, "config", "2");
+        cluster.store.put(sharing_cluster::operators, "out-of-service", "1");
+        cluster.clock.run_for(apply_bound);
+        cluster.store.restore_backup();
+        cluster.clock.run_for(std::chrono::milliseconds(20 * (seed % heal_times)));
+        cluster.store.unanswered_callers.clear();
+        cluster.cut_apart.clear();
+        cluster.clock.run_for(apply_bound);
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            cluster.check_known(shared_topic::operators, "config", "2");
+            cluster.check_known(shared_topic::operators, "out-of-service", "1");
+        }
+    }
+}
+
 // Guards against an older configuration on a daemon that starts and finds the others late.
 BOOST_AUTO_TEST_CASE(a_daemon_that_starts_apart_from_the_others_learns_what_a_restored_store_lacks)
 {
--- a/tests/support/sharing_cluster.cpp
+++ b/tests/support/sharing_cluster.cpp
@@ -275,7 +275,8 @@
         data_centre_of(sender) == data_centre_of(receiver) ? 0 : 1;
     if (receiver >= this->processes.size() || (this->is_lost && this->is_lost(body)) ||
         uniform(this->random) < this->message_loss_fraction ||
-        this->disconnected.contains(sender) || this->disconnected.contains(receiver)) {
+        this->disconnected.contains(sender) || this->disconnected.contains(receiver) ||
+        this->cut_apart.contains(sender) != this->cut_apart.contains(receiver)) {
         return;
     }
     this->clock.after(message_latency,
--- a/tests/support/sharing_cluster.hpp
+++ b/tests/support/sharing_cluster.hpp
@@ -117,6 +117,8 @@
     double message_loss_fraction = 0;
     // Daemons to and from which no messages are delivered.
     std::set<std::size_t> disconnected;
+    // Daemons that reach each other and none of the rest.
+    std::set<std::size_t> cut_apart;
     std::uint64_t messages_sent = 0;
     std::uint64_t messages_between_data_centres = 0;
     std::vector<std::uint64_t> messages_sent_by;
