Pass on all that other data centres know from before a restore

An answer that does not fit one message was passed on as far as its first part, so that a large configuration left out the data centres out of service. Found by reading; the case of a data centre that was cut off passes as before.

--- a/src/azureshore/sharing/internal/earlier_records.cpp
+++ b/src/azureshore/sharing/internal/earlier_records.cpp
@@ -134,7 +134,7 @@
                                        known->second.record.offset >= snapshot.next.offset;
             learned = (!written_again && this->take_earlier_record(topic, each)) || learned;
         }
-        if (learned && std::exchange(topic.restore_passed_on, false)) {
+        if (learned && topic.restore_passed_on) {
             this->broadcast_snapshot(topic);
         }
         return;
