--- a/src/azureshore/balance/backend_registry.cpp
+++ b/src/azureshore/balance/backend_registry.cpp
@@ -121,7 +121,8 @@
 std::set<backend_id> backend_registry::merge_restored_list(time_point now,
                                                            const std::vector<registration>& all)
 {
-    // Records written after the backup count as lapsed, not as withdrawn.
+    // A missing registration was probably written after the backup, so it counts as lapsed rather
+    // than withdrawn.
     this->store_available_since = now;
     std::set<backend_id> present;
     std::set<backend_id> outdated;
--- a/src/azureshore/balance/backend_registry.hpp
+++ b/src/azureshore/balance/backend_registry.hpp
@@ -41,12 +41,12 @@
     // Applies a registration that another daemon knows from before the store was restored. Returns
     // whether it is newer than what is known.
     bool apply_earlier_registration(const registration& incoming);
-    // Applies a removal that another daemon knows. `last` is the registration before it; a later
-    // one is kept. Returns whether the backend server was removed.
+    // Applies a removal that another daemon knows. `last` is the registration that was removed; a
+    // later one is kept. Returns whether the backend server was removed.
     bool apply_earlier_removal(const registration& last);
 
-    // Whether the backend server is known to have been removed since a registration from a restored
-    // store.
+    // Whether the backend server of a registration from a restored store is known to have been
+    // removed after that registration.
     [[nodiscard]] bool was_removed_since(const registration& listed) const;
 
     // To be called when the store stops and starts answering.
@@ -71,7 +71,8 @@
 
     // Whether a registration is older than the latest one of that backend server.
     [[nodiscard]] bool is_outdated(const registration& incoming) const;
-    // The same for one from a restored store, where a lower sequence of an unknown run is older.
+    // The same for one from a restored store. If its run is unknown, a lower sequence counts as
+    // older.
     [[nodiscard]] bool is_outdated_after_restore(const registration& incoming) const;
     void add_tombstone(const registration& last);
     void remove_missing(time_point now, const std::set<backend_id>& present);
--- a/src/azureshore/balance/internal/endings.cpp
+++ b/src/azureshore/balance/internal/endings.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-// Bounds the length of a line of the log.
+// Limits the length of a log line.
 constexpr std::size_t max_logged_path = 100;
 
 } // namespace
--- a/src/azureshore/daemon/internal/gateway_store.cpp
+++ b/src/azureshore/daemon/internal/gateway_store.cpp
@@ -309,7 +309,8 @@
     return read.ok() && this->registry.apply_earlier_registration(*read);
 }
 
-// A removal that does not tell what was removed can't be told from that of an earlier run.
+// Without the registration that was removed, a removal can't be distinguished from that of an
+// earlier run.
 bool gateway_store::take_earlier_removal(const wire::shared_record& removal)
 {
     const auto last =
@@ -362,8 +363,8 @@
 void gateway_store::take_all_registrations(const std::vector<platform::keyed_record>& records,
                                            const std::vector<wire::earlier_record>& earlier)
 {
-    // What is newer replaces its record in the list, so that the list has no older state of a
-    // backend server to which requests that wait could go.
+    // Newer records replace those of the list before it is applied: otherwise, waiting requests
+    // could be sent to a backend server because of its older state.
     std::map<std::string, platform::keyed_record> newest;
     for (const auto& each : records) {
         newest[each.key] = each;
--- a/src/azureshore/daemon/internal/gateway_store.hpp
+++ b/src/azureshore/daemon/internal/gateway_store.hpp
@@ -79,7 +79,7 @@
     std::set<std::string> merge_registrations(const std::vector<platform::keyed_record>& records);
     std::vector<balance::registration>
     read_registrations(const std::vector<platform::keyed_record>& records);
-    // Runs a change of the registry that takes a whole list.
+    // Runs a change of the registry that applies a whole list, and logs its result as one event.
     void take_list(const std::function<void()>& change);
     void end_unconfirmed(time_point now);
     void set_in_service(const data_centre_service& change);
--- a/src/azureshore/gateway/backend_pool.cpp
+++ b/src/azureshore/gateway/backend_pool.cpp
@@ -258,7 +258,8 @@
         ended.load = this->words.read_load(net::find_field(answer.fields, this->words.load));
         const bool declined = answer.status == status_misdirected ||
                               !net::find_field(answer.fields, this->words.not_run).empty();
-        // An answer without the signature is nobody's word on whether the request ran.
+        // An answer without the signature may not come from the backend server, so it does not tell
+        // whether the request ran.
         ended.end = declined          ? balance::attempt_end::not_run
                     : ended.is_signed ? balance::attempt_end::answered
                                       : balance::attempt_end::unknown;
--- a/src/azureshore/gateway/gateway.cpp
+++ b/src/azureshore/gateway/gateway.cpp
@@ -185,7 +185,8 @@
         this->decisions.begin(arrived);
     }
 
-    // Logs a request that never reaches a decision.
+    // Logs a request that is refused before any decision on it, and counts it if refused with a
+    // 4xx.
     void reject(int status, std::string_view cause, std::string_view id)
     {
         if (status < first_server_error) {
--- a/src/azureshore/gateway/http_port.hpp
+++ b/src/azureshore/gateway/http_port.hpp
@@ -43,9 +43,9 @@
     // Does nothing for a request whose caller has left.
     void answer(request_number request, http1::response answer);
 
-    // The operators' limits. A request that has begun may use the larger of these and those before.
-    // Until the first call, a request that is too large for the default ones is refused with 503,
-    // since the operators may allow it.
+    // Sets the operators' limits. A request that has begun may use the larger of the new and the
+    // previous ones. Until the first call, a request that is too large for the default ones is
+    // refused with 503, since the operators may allow it.
     void set_limits(const balance::caller_limits& limits);
 
     // Each answer from now on closes its connection.
--- a/src/azureshore/gateway/internal/backend_connection.cpp
+++ b/src/azureshore/gateway/internal/backend_connection.cpp
@@ -67,7 +67,7 @@
         this->set_timer(this->current->timeout);
     }
     else {
-        // Beyond cancelling: the handler of an earlier limit may already be queued.
+        // Cancelling is not enough: the handler of an earlier limit may already be queued.
         this->timer.expires_at(asio::steady_timer::time_point::max());
     }
     asio::async_write(
--- a/src/azureshore/gateway/internal/caller_connection.cpp
+++ b/src/azureshore/gateway/internal/caller_connection.cpp
@@ -167,7 +167,7 @@
     this->write(http1::write_response(answer, this->to_head));
 }
 
-// Without the operators' limits, nothing is known to be too large: another daemon may take it.
+// Until the operators' limits are known, another daemon may accept what is too large here.
 void caller_connection::reject_too_large(int status, std::string_view cause)
 {
     if (this->owner.limits_known()) {
--- a/src/azureshore/gateway/internal/caller_connection.hpp
+++ b/src/azureshore/gateway/internal/caller_connection.hpp
@@ -74,7 +74,7 @@
     asio::ip::tcp::socket socket;
     caller_owner& owner;
     asio::steady_timer timer;
-    // What the request under way may use.
+    // Limits of the request that is being read.
     http1::reader_limits allowed;
     http1::message_reader reader;
     std::array<char, 8192> buffer{};
--- a/src/azureshore/http1/message.cpp
+++ b/src/azureshore/http1/message.cpp
@@ -29,7 +29,7 @@
     return method == "POST" || method == "PUT" || method == "PATCH";
 }
 
-// The length of the scheme and the slashes that begin a URI of the web; zero for other text.
+// The length of `http://` or `https://` at the start of a target; zero if it has neither.
 std::size_t scheme_length(std::string_view target)
 {
     for (const std::string_view scheme : {"http://", "https://"}) {
@@ -40,7 +40,7 @@
     return 0;
 }
 
-// The target that stands for the rest of a URI after its host. OPTIONS without a path asks about
+// The target in origin form for the rest of a URI after its host. OPTIONS without a path asks about
 // the server as a whole.
 std::string after_host(const request& of, const std::string& rest)
 {
@@ -60,7 +60,7 @@
     }
     const auto host_end = std::min(of.target.find_first_of("/?", scheme), of.target.size());
     const auto host = of.target.substr(scheme, host_end - scheme);
-    // A URI of the web has a host, and names no user (RFC 9110, section 4.2).
+    // An http or https URI has a host and no user information (RFC 9110, section 4.2).
     if (host.empty() || host.find('@') != std::string::npos) {
         return;
     }
--- a/src/azureshore/http1/message.hpp
+++ b/src/azureshore/http1/message.hpp
@@ -26,8 +26,9 @@
     bool keep_alive = true;
 };
 
-// Rewrites a target that is a whole http or https URI as its path and query, and its host as the
-// Host field, which it overrides (RFC 9112, section 3.2.2). Leaves any other target as it is.
+// Rewrites a target in absolute form, a whole http or https URI, in origin form, as its path and
+// query. The host of the URI replaces the value of the Host field (RFC 9112, section 3.2.2). Leaves
+// any other target as it is.
 void use_origin_form(request& of);
 
 // The bytes of a request; the length is set for a body or for a method that usually has one.
--- a/src/azureshore/http1/message_reader.cpp
+++ b/src/azureshore/http1/message_reader.cpp
@@ -132,8 +132,8 @@
         return used;
     }
 
-    // Hands the parser no more than the header may still have, so that its limit holds for the
-    // bytes on the wire, however they are cut.
+    // Passes the parser no more bytes than the header may still have, so that the limit applies to
+    // the bytes on the wire, however they are divided.
     std::size_t execute_header(std::string_view part)
     {
         const auto allowed = this->limits.max_header_bytes + header_end_bytes;
@@ -142,7 +142,7 @@
             return 0;
         }
         const auto most = std::min<std::size_t>(allowed - this->header_bytes, HTTP_MAX_HEADER_SIZE);
-        // The parser's own count would end a header at a limit of its own.
+        // The parser would otherwise refuse a header at a limit of its own.
         this->engine.nread = 0;
         const auto used = this->method_done ? this->execute_spaced(part.substr(0, most))
                                             : this->execute_method(part.substr(0, most));
@@ -155,8 +155,9 @@
         return used;
     }
 
-    // The parser knows few methods, but any token is one (RFC 9110, section 9.1). None of them but
-    // CONNECT changes how a request is read, so the parser gets one that it knows.
+    // The parser accepts only methods that it knows, but any token is one (RFC 9110, section 9.1).
+    // Only CONNECT changes how a request is read, so the parser gets a known method in place of any
+    // other.
     std::size_t execute_method(std::string_view part)
     {
         const auto* const end = std::find_if_not(part.begin(), part.end(), is_token_character);
@@ -174,8 +175,8 @@
         return length + 1;
     }
 
-    // The parser knows no white space but spaces after the values that frame a body; a tab means
-    // the same there.
+    // After the values of Content-Length and Transfer-Encoding, the parser accepts spaces but no
+    // tabs. A tab means the same there, so the parser gets a space in its place.
     std::size_t execute_spaced(std::string_view part)
     {
         if (part.front() == '\t' && this->in_framing_field()) {
@@ -245,7 +246,7 @@
         return this->no_body ? 1 : 0;
     }
 
-    // White space after a value is no part of it (RFC 9112, section 5.1).
+    // White space after a value is not part of it (RFC 9112, section 5.1).
     void trim_values()
     {
         for (auto& each : this->fields) {
--- a/src/azureshore/platform/keyed_topic.hpp
+++ b/src/azureshore/platform/keyed_topic.hpp
@@ -28,8 +28,8 @@
 struct keyed_list {
     bool ok = false;
     // Rises by one each time the store is restored from a backup; zero if the store does not tell.
-    // Each restore may lose records and gives their offsets out again, so offsets can only be
-    // compared within an epoch.
+    // Each restore may lose records, whose offsets are then reused, so offsets can only be compared
+    // within an epoch.
     std::uint64_t epoch = 0;
     std::vector<keyed_record> records;
     // From where to read on so that no record is missed.
@@ -37,11 +37,11 @@
 };
 
 struct keyed_read {
-    // `expired` also when the offset asked for lies behind the end, as after a restore.
+    // `expired` also when the requested offset is beyond the end, as after a restore.
     read_outcome outcome = read_outcome::unavailable;
     std::uint64_t epoch = 0;
     std::uint64_t next_offset = 0;
-    // The end of the topic. It lies behind next_offset if the answer holds only a part of the
+    // The end of the topic. It is greater than next_offset if the answer holds only a part of the
     // records, as the store limits the size of its answers.
     std::uint64_t end_offset = 0;
     std::vector<keyed_record> records;
--- a/src/azureshore/sharing/internal/earlier_records.cpp
+++ b/src/azureshore/sharing/internal/earlier_records.cpp
@@ -10,15 +10,15 @@
 
 namespace {
 
-// How long a daemon that restarts keeps its list of a restored store back, so that others can tell
-// what the store has lost.
+// How long a daemon that restarts waits before it uses its own list of a restored store, so that
+// others can tell it what the store has lost.
 constexpr duration held_list_patience = std::chrono::milliseconds(300);
 // For this long after its start, a daemon that listed the store itself takes newer records from
 // others that know them from before the store was restored.
 constexpr duration earlier_records_window = std::chrono::seconds(3);
 // For this long after the first answer, a daemon that listed a restored store takes further ones.
 constexpr duration further_answers_window = std::chrono::milliseconds(300);
-// The time between two questions to others by a daemon that listed a restored store.
+// The time between two requests to others by a daemon that listed a restored store.
 constexpr duration earlier_records_retry_delay = std::chrono::milliseconds(500);
 
 } // namespace
@@ -90,8 +90,8 @@
 void store_sharing::state::heard_earlier_records(topic_state& topic,
                                                  const wire::topic_snapshot& snapshot) const
 {
-    // Only an answer tells what its sender knows: a broadcast may come from another daemon that
-    // listed the restored store. What is known from before stands in the last part.
+    // Only an answer ends the search: a broadcast may come from another daemon that listed the
+    // restored store. The earlier records are at the end of a snapshot, so its last part counts.
     if (snapshot.broadcast_id == 0 && snapshot.part + 1 == snapshot.parts &&
         snapshot.next.epoch == topic.next.epoch &&
         std::exchange(topic.seeks_earlier_records, false)) {
@@ -122,7 +122,7 @@
     const bool looks_for_them = this->now() - this->started_at < earlier_records_window ||
                                 topic.seeks_earlier_records ||
                                 this->now() < topic.answers_taken_until;
-    // A sender that knows all that this daemon knows has dropped what was written again.
+    // A sender at the same position has already discarded the records that were written again.
     if (!looks_for_them && snapshot.next != topic.next) {
         return;
     }
@@ -139,8 +139,8 @@
         }
         return;
     }
-    // The sender does not know yet that the store was restored. Its registrations can't be told
-    // from those of backend servers that have registered again since.
+    // The sender does not know yet that the store was restored. Its registrations can't be
+    // distinguished from those of backend servers that have registered again since.
     if (topic.kind == wire::shared_topic::operators) {
         for (const auto& each : snapshot.records) {
             this->take_earlier_record(topic, {each, rewrite_grace});
--- a/src/azureshore/sharing/internal/joining.cpp
+++ b/src/azureshore/sharing/internal/joining.cpp
@@ -106,7 +106,7 @@
 void store_sharing::state::request_snapshot(const address& recipient, std::uint32_t redirects)
 {
     this->next_request_at = this->now() + this->seed_timeout;
-    // A daemon that listed the topics itself may have got older records of a restored store.
+    // A daemon that listed the topics itself may have older records of a restored store.
     this->hooks.send({recipient},
                      wire::topics_pull{this->known_members.self(), this->topics[0].next,
                                        this->topics[1].next,
@@ -320,7 +320,7 @@
 std::optional<store_sharing::state::snapshot_content>
 store_sharing::state::assemble_snapshot(topic_state& topic, const wire::topic_snapshot& part)
 {
-    // Answers of several daemons may arrive by turns.
+    // Parts of several daemons' answers may arrive interleaved.
     constexpr std::size_t max_partial_snapshots = 4;
     auto& partial = topic.partial_snapshots;
     auto found = std::find_if(partial.begin(), partial.end(), [&](const partial_snapshot& each) {
--- a/src/azureshore/sharing/internal/messages.cpp
+++ b/src/azureshore/sharing/internal/messages.cpp
@@ -160,8 +160,9 @@
     changes.next = topic.next;
     for (const auto& [key, newest] : topic.newest_records) {
         if (newest.changed_offset >= from.offset) {
-            // Parts are divided by offset: after the loss of one, the receiver asks from its first
-            // offset on, and a record at a later renewal's offset would be left out.
+            // Each record is sent at the offset of its last change. If it were sent at that of a
+            // later renewal and its part were lost, the receiver would ask for changes from a point
+            // after this one, and the record would be left out.
             auto record = newest.record;
             record.offset = newest.changed_offset;
             changes.records.push_back(std::move(record));
--- a/src/azureshore/sharing/internal/reading.cpp
+++ b/src/azureshore/sharing/internal/reading.cpp
@@ -27,7 +27,7 @@
 // The reader's long poll of the operators' topic ends after this fraction of apply_within. The
 // store does not always wake a waiting read, and a connection may have gone silent.
 constexpr double operators_poll_fraction = 0.5;
-// Delay before a long poll that failed is repeated without a wait.
+// Delay before a failed long poll is followed by a read that does not wait.
 constexpr duration lost_wait_retry_delay = std::chrono::milliseconds(50);
 // Each news message holds the records of this many most recent reads, so that the loss of one
 // message does no harm.
@@ -129,7 +129,8 @@
     topic.call_in_flight = false;
     // An answer of an earlier epoch was given before the store was restored.
     if (result.outcome == platform::read_outcome::unavailable || result.epoch < topic.next.epoch) {
-        // A read that waited may have lost its connection long ago.
+        // A long poll may have lost its connection long ago, so that it does not show whether the
+        // store answers now.
         if (call.max_wait > std::chrono::milliseconds(0)) {
             this->run_after(lost_wait_retry_delay, [kind = topic.kind](state& self) {
                 self.read_topic(self.topic_for(kind), std::chrono::milliseconds(0));
@@ -172,7 +173,7 @@
     this->continue_reading(topic, call.began);
 }
 
-// The records of a part alone are not passed on: news tell their receivers that they know all.
+// The records of a part alone are not passed on: news state that their receivers are now current.
 void store_sharing::state::read_rest(topic_state& topic, const read_call& call,
                                      const platform::keyed_read& part)
 {
--- a/src/azureshore/sharing/internal/sharing_constants.hpp
+++ b/src/azureshore/sharing/internal/sharing_constants.hpp
@@ -31,7 +31,7 @@
 // Ages in messages are limited to this, so that a malformed one can't overflow a time.
 inline constexpr duration max_age = std::chrono::hours(1);
 
-// The mean of what state::jittered() makes of a delay, as a multiple of it.
+// The mean result of state::jittered(), as a multiple of the given delay.
 inline constexpr double mean_jitter = 1.25;
 
 inline duration fraction_of(duration whole, double fraction)
--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -48,7 +48,8 @@
         // What the key held before, if known.
         std::optional<std::string> dropped_value;
     };
-    // A list of a restored store that this daemon does not use before others had time to answer.
+    // A list of a restored store that this daemon does not use until others have had time to
+    // answer.
     struct held_list {
         platform::keyed_list list;
         time_point began;
@@ -84,14 +85,14 @@
         // Another daemon has records that this one lacks.
         bool missed_records = false;
         std::deque<read_round> recent_reads{};
-        // The latest read ended at the size limit of an answer; its rest is being read.
+        // The latest read ended at the size limit of an answer; the rest is being read.
         bool read_incomplete = false;
         std::map<std::string, newest_record> newest_records{};
         // Removals by offset. Those before history_begin are not known.
         std::map<std::uint64_t, removed_key> removed_keys{};
         std::uint64_t history_begin = 0;
-        // What this daemon knows from before the store was restored, where the store lacks it or
-        // has it older, by key, until the key is written again.
+        // Records from before the store was restored, by key, that the store lacks or has only in
+        // an older version. Each is kept until its key is written again.
         std::map<std::string, kept_record> earlier_records{};
         std::optional<held_list> held{};
         // The latest incomplete snapshots, the oldest first.
@@ -102,10 +103,10 @@
         // Until when this daemon takes further answers, as the first one may come from a daemon
         // that has missed the same.
         time_point answers_taken_until{};
-        // While it ran, this daemon listed a restored store, which others may have taken over from
-        // it without what it learns since.
+        // This daemon listed a restored store while it ran, and others may have taken over the list
+        // without what this daemon learns since.
         bool restore_passed_on = false;
-        // This daemon listed the topic again, and the others may lack what it took over.
+        // This daemon listed the topic again, and the others may lack records of that list.
         bool snapshot_unsent = false;
     };
 
@@ -133,7 +134,7 @@
     void list_topic(topic_state& topic);
     void list_unlisted_topics();
     void read_topic(topic_state& topic, std::chrono::milliseconds max_wait);
-    // `again` says that the topic was known when the list was asked for.
+    // `again` tells whether the topic had been listed before the call.
     void handle_list_result(topic_state& topic, time_point began, bool again,
                             const platform::keyed_list& result);
     void handle_list_failure(topic_state& topic);
@@ -146,11 +147,11 @@
     void apply_read(topic_state& topic, const platform::keyed_read& result);
     void apply_list(topic_state& topic, const wire::topic_position& next,
                     const snapshot_content& content);
-    // The records of a further list in the same epoch, after which what is known from before the
-    // store was restored still holds.
+    // Replaces the records by those of a further list in the same epoch. What is known from before
+    // the store was restored is kept as long as it is newer.
     void replace_records(topic_state& topic, const topic_content& known,
                          const std::vector<platform::keyed_record>& records);
-    // The records of a restored store, merged with what is known from before.
+    // Merges the records of a restored store with what is known from before.
     void merge_restored_list(topic_state& topic, const topic_content& known,
                              const std::vector<platform::keyed_record>& records);
     void report_restore(const topic_state& topic, const wire::topic_position& next) const;
@@ -197,7 +198,7 @@
     void take_earlier_records(topic_state& topic, const wire::topic_snapshot& snapshot);
     // Returns whether the record is newer than what this daemon knew.
     bool take_earlier_record(topic_state& topic, const wire::earlier_record& record);
-    // Returns all records once every part has come.
+    // Returns the whole content once every part has arrived.
     static std::optional<snapshot_content> assemble_snapshot(topic_state& topic,
                                                              const wire::topic_snapshot& part);
     void handle_update(const wire::topic_update& update);
@@ -215,7 +216,7 @@
     // daemons do.
     [[nodiscard]] bool is_chosen_to_call(double callers);
     [[nodiscard]] std::size_t daemon_count() const;
-    // The time between two checks of a daemon in an outage.
+    // The time between two checks during an outage of the store.
     [[nodiscard]] duration outage_check_interval() const;
 
     // News.
--- a/src/azureshore/sharing/store_sharing.cpp
+++ b/src/azureshore/sharing/store_sharing.cpp
@@ -63,7 +63,7 @@
     const bool restored = topic.listed && next.epoch > topic.next.epoch;
     if (restored) {
         this->report_restore(topic, next);
-        // This daemon's announcement may be lost, and those of others.
+        // The store may have lost the announcements of this daemon and of others.
         this->announced = false;
         this->members_listed_at.reset();
     }
@@ -141,7 +141,7 @@
             newer.dropped_value = dropped_value_of(known.removed_keys, key);
         }
         if (!newer.value && !newer.dropped_value) {
-            // What was dropped is no older than what the store lists.
+            // What was dropped is at least as new as what the store lists.
             newer.dropped_value = topic.newest_records.at(key).record.value;
         }
         topic.earlier_records[key] = std::move(newer);
--- a/src/azureshore/sharing/store_sharing.hpp
+++ b/src/azureshore/sharing/store_sharing.hpp
@@ -15,11 +15,11 @@
 
 namespace azureshore::sharing {
 
-// Operators write again what a restored store has lost. A record that the store lacks holds for
-// this long without.
+// How long an operators' record that a restored store lacks stays in force unless it is written
+// again. Operators write again what the store has lost.
 inline constexpr duration rewrite_grace = std::chrono::seconds(10);
 
-// What a record of a topic does to what a daemon knows.
+// How a record changes what a daemon knows of a topic.
 enum class record_effect : std::uint8_t {
     unchanged,
     changed,
@@ -74,7 +74,7 @@
     std::function<void(std::uint64_t fingerprint)> crash_suspected;
     // Returns the requests per second that this daemon receives.
     std::function<double()> request_rate;
-    // Logs what this daemon does with what it hears. May be empty.
+    // Logs what this daemon does with what it receives. May be empty.
     observe::decision_hook decided;
     random_source random;
 };
@@ -139,8 +139,8 @@
     // Returns the position after the last record of a topic that this daemon knows.
     [[nodiscard]] wire::topic_position next_position(wire::shared_topic topic) const;
 
-    // Returns how many records of others' news this daemon dropped without knowing them, because it
-    // knew later offsets.
+    // Returns how many records in others' news this daemon dropped although it lacked them, because
+    // it knew later offsets.
     [[nodiscard]] std::uint64_t dropped_record_count() const;
 
     // Returns the requests per second of all daemons that have reported theirs, or zero if unknown.
--- a/src/azureshore/wire/sharing_messages.hpp
+++ b/src/azureshore/wire/sharing_messages.hpp
@@ -23,7 +23,7 @@
 
 // A place between two records of a topic. Offsets are only comparable within an epoch, which ends
 // when the store is restored from a backup: what was written after the backup is lost then, and its
-// offsets are given out again.
+// offsets are reused.
 struct topic_position {
     std::uint64_t epoch = 0;
     std::uint64_t offset = 0;
@@ -37,8 +37,8 @@
     std::string key;
     // Nothing when the key was dropped.
     std::optional<std::string> value;
-    // What the key held before it was dropped, if known. Only snapshots tell it, so that their
-    // receivers can tell a value that was written since from one that was dropped.
+    // What the key held before it was dropped, if known. Only snapshots include it, so that their
+    // receivers can distinguish a value that was written since from one that was dropped.
     std::optional<std::string> dropped_value{};
 
     bool operator==(const shared_record&) const = default;
@@ -68,8 +68,8 @@
     bool operator==(const topic_news&) const = default;
 };
 
-// What a daemon knows from before the store was restored from a backup, where the restored store
-// lacks it or has it older.
+// A record from before the store was restored from a backup, which the restored store lacks or has
+// only in an older version.
 struct earlier_record {
     // Without a value if the key was dropped, though the restored store has it.
     shared_record record;
@@ -89,8 +89,8 @@
     std::uint32_t parts = 1;
     // The newest record of each key that the store has, and the latest removals.
     std::vector<shared_record> records;
-    // Random, the same for all parts of a snapshot: those of daemons that know the same records may
-    // be divided differently.
+    // Random and the same for all parts of a snapshot. It identifies parts that belong together, as
+    // daemons that know the same records may divide them differently.
     std::uint64_t snapshot_id = 0;
     // Random if each receiver forwards the message along the broadcast trees, zero if the sender
     // answers one daemon.
--- a/tools/standin/keyed_store.cpp
+++ b/tools/standin/keyed_store.cpp
@@ -247,7 +247,7 @@
 
 net::http_answer keyed_store::records_answer(const topic_state& of, std::uint64_t from) const
 {
-    // An offset behind the end was given out before a restore.
+    // An offset beyond the end was assigned before a restore.
     if (from < of.first_offset() || from > of.next_offset) {
         return json_answer(status_gone, nlohmann::json{{"first_offset", of.first_offset()}}.dump());
     }
@@ -353,7 +353,7 @@
         this->topics = this->backup;
         ++this->era;
         ended = this->waiters.take_all();
-        // Records from now on are not those that these reads asked for.
+        // Records written from now on are not those that these reads wait for.
         answer = this->with_era(json_answer(status_unavailable, "{}"));
     }
     for (const auto& each : ended) {
--- a/tools/standin/keyed_store.hpp
+++ b/tools/standin/keyed_store.hpp
@@ -55,11 +55,11 @@
     // Forgets all but the newest records of a topic, so that a read from before them is too old.
     void compact(const std::string& topic);
 
-    // Keeps a copy of all topics in place of the one kept before.
+    // Keeps a copy of all topics, which replaces the previous one.
     void take_backup();
 
-    // Puts all topics back to the last backup, or to nothing without one. What was written since
-    // is lost and its offsets are given out again; reads that wait end without records.
+    // Restores all topics from the last backup, or empties them if there is none. What was written
+    // since is lost and its offsets are reused; waiting reads end without records.
     void restore_backup();
 
     void set_faults(const store_faults& now);
@@ -84,8 +84,8 @@
                  const net::responder& respond);
     void end_wait(std::uint64_t id);
 
-    // All below are called under the lock; answers are given after it is released. An answer that
-    // is not there yet is nothing.
+    // All below are called under the lock; answers are given after it is released. An empty result
+    // of serve(), append() or read() means that the call is answered later or not at all.
     std::optional<net::http_answer> serve(const std::string& path, const net::http_call& call,
                                           const net::responder& respond, pending_answers& woken);
     std::optional<net::http_answer> append(const net::http_call& call, pending_answers& woken);
