Read weights of a configuration as proportions

A configuration in which a weight is 0.9 or 33.3, or in which a route has an empty traffic_split beside its service, was refused as a whole by every gateway. The older one stayed in force, so that routes that had been added got 404 and others went to the service of before.

Cause: the reader of the users' format took weights for whole numbers, which their page does not say, and any traffic_split for a list with entries. Ruled out: the store, which accepts only valid configurations.

Evidence: four checks of the new case failed before.

Weights are numbers now, as the selection of a service already computes with them; negative ones are still malformed. A traffic_split without entries counts as none, and a route with neither is still malformed.

users_platform passes.

--- a/src/azureshore/balance/traffic_configuration.hpp
+++ b/src/azureshore/balance/traffic_configuration.hpp
@@ -14,7 +14,7 @@
 // A service that takes a share of a route's requests, in proportion to its weight.
 struct weighted_service {
     service_id service;
-    std::uint32_t weight = 1;
+    double weight = 1;
 
     bool operator==(const weighted_service&) const = default;
 };
--- a/tests/users_platform/decode_tests.cpp
+++ b/tests/users_platform/decode_tests.cpp
@@ -45,7 +45,7 @@
     BOOST_REQUIRE(of.routes.size() == 2U);
     BOOST_TEST(of.routes[0].idempotent);
     BOOST_TEST(of.routes[0].services.size() == 2U);
-    BOOST_TEST(of.routes[0].services[1].weight == 10U);
+    BOOST_TEST(of.routes[0].services[1].weight == 10.0);
     BOOST_TEST((of.routes[0].timeout == 1500ms));
     BOOST_TEST((of.routes[0].target_latency == 600ms));
     BOOST_TEST(!of.routes[1].idempotent);
@@ -55,6 +55,23 @@
     BOOST_TEST((of.limits.idle_timeout == 15s));
 }
 
+// Guards against an older configuration that stays in force for all routes because of one route
+// that is written in another way: weights are proportions, and an empty split is no split.
+BOOST_AUTO_TEST_CASE(a_configuration_is_read_whatever_numbers_its_weights_are)
+{
+    const std::string single = "\"service\":\"s2\",\"timeout_ms\":1200";
+    for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>>{
+             {"\"weight\":90", "\"weight\":0.9"},
+             {"\"weight\":90", "\"weight\":33.3"},
+             {single, "\"traffic_split\":null," + single},
+             {single, "\"traffic_split\":[]," + single}}) {
+        BOOST_TEST_CONTEXT(to)
+        BOOST_TEST(
+            users_platform::read_operator_record(record("config", without(configuration, from, to)))
+                .ok());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_broken_configuration_is_malformed_and_nothing_else)
 {
     for (const auto* const what :
