Say that a route does not exist only if the configuration may not be outdated

Callers got 404 for a route that had been added from a gateway that had not heard of it: one that the store turned away and that was cut off from the others, or one that had missed records and was fetching them. A 404 ends a request for good, so a proper request was lost.

Cause: the gateway answered by the configuration that it had, however old, although it knew that there might be a newer one. Ruled out for this change: a gateway without any configuration, which answers 503 already. The report itself is still not reproduced.

Evidence: by design of the code; the new case in balance could not pass, as the dispatcher had no way to learn how old its configuration is.

The sharing of records now says whether a topic is current as far as the daemon has heard: no record is known to be missing, and the store was read within the bound and one long poll. While it is not, a request without a route gets 503 with Retry-After and the cause no_current_route; it ran nowhere, so that is true. In 30 s of virtual time without faults no daemon doubts its configuration, and all do after 4 s without the store.

balance's dispatching cases and sharing pass.

--- a/src/azureshore/balance/dispatch_types.hpp
+++ b/src/azureshore/balance/dispatch_types.hpp
@@ -82,6 +82,8 @@
 enum class refusal_cause : std::uint8_t {
     no_configuration,
     no_route,
+    // No route of the configuration, which may not be the latest.
+    no_current_route,
     no_backend,
     overloaded,
     attempts_exhausted,
--- a/src/azureshore/balance/dispatcher.cpp
+++ b/src/azureshore/balance/dispatcher.cpp
@@ -13,6 +13,8 @@
         return "no_configuration";
     case refusal_cause::no_route:
         return "no_route";
+    case refusal_cause::no_current_route:
+        return "no_current_route";
     case refusal_cause::no_backend:
         return "no_backend";
     case refusal_cause::overloaded:
@@ -83,6 +85,11 @@
     this->inner->total_rate = std::move(total);
 }
 
+void dispatcher::set_configuration_check(std::function<bool()> is_latest)
+{
+    this->inner->is_latest_configuration = std::move(is_latest);
+}
+
 double dispatcher::request_rate() const
 {
     return this->inner->request_rate();
--- a/src/azureshore/balance/dispatcher.hpp
+++ b/src/azureshore/balance/dispatcher.hpp
@@ -58,6 +58,11 @@
     // unknown.
     void set_total_rate_source(std::function<double()> total);
 
+    // Sets the function that returns whether the configuration is known to be the latest. If it may
+    // not be, a request without a route is told to come back instead of that there is none. Without
+    // the function, the configuration counts as the latest.
+    void set_configuration_check(std::function<bool()> is_latest);
+
     // Returns the requests per second that this daemon received lately.
     [[nodiscard]] double request_rate() const;
 
--- a/src/azureshore/balance/internal/admission.cpp
+++ b/src/azureshore/balance/internal/admission.cpp
@@ -125,6 +125,11 @@
 void dispatcher::state::admit(const incoming_request& incoming)
 {
     const auto* matched = this->configuration->find_route(incoming.host, incoming.path);
+    if (matched == nullptr && this->is_latest_configuration && !this->is_latest_configuration()) {
+        this->refuse_unadmitted(
+            incoming, {refusal_cause::no_current_route, status_unavailable, short_retry_delay});
+        return;
+    }
     if (matched == nullptr) {
         this->refuse_unadmitted(incoming,
                                 {refusal_cause::no_route, status_not_found, std::nullopt});
--- a/src/azureshore/balance/internal/dispatcher_state.hpp
+++ b/src/azureshore/balance/internal/dispatcher_state.hpp
@@ -92,6 +92,7 @@
 
     detail::backend_table backends;
     std::function<double()> total_rate;
+    std::function<bool()> is_latest_configuration;
     detail::crash_tracker crashes;
     dispatcher_hooks hooks;
     std::shared_ptr<const traffic_configuration> configuration;
--- a/src/azureshore/daemon/gateway_daemon.cpp
+++ b/src/azureshore/daemon/gateway_daemon.cpp
@@ -76,6 +76,8 @@
                       {"callers", to_string(this->settings.callers)},
                       {"store", to_string(this->settings.store)}}});
         this->share_bounds();
+        this->gateway.decisions().set_configuration_check(
+            [this] { return this->store.is_latest_configuration(); });
         this->store.start();
         this->executor.run();
         this->log.flush();
--- a/src/azureshore/daemon/internal/gateway_store.cpp
+++ b/src/azureshore/daemon/internal/gateway_store.cpp
@@ -102,6 +102,11 @@
     return made.to_text();
 }
 
+bool gateway_store::is_latest_configuration() const
+{
+    return this->sharing.is_current(wire::shared_topic::operators);
+}
+
 bool gateway_store::known() const
 {
     return this->version && this->sharing.topics_listed();
--- a/src/azureshore/daemon/internal/gateway_store.hpp
+++ b/src/azureshore/daemon/internal/gateway_store.hpp
@@ -48,6 +48,9 @@
     // This daemon's view of the store, in Prometheus' text format.
     [[nodiscard]] std::string metrics() const;
 
+    // Whether the configuration is known to be the latest.
+    [[nodiscard]] bool is_latest_configuration() const;
+
     // Whether both the configuration and the backend servers have been read.
     [[nodiscard]] bool known() const;
 
--- a/src/azureshore/sharing/internal/reading.cpp
+++ b/src/azureshore/sharing/internal/reading.cpp
@@ -24,9 +24,6 @@
 // The time between two lists of the announced daemons by the reader, which finds those that lost
 // contact with all others.
 constexpr duration members_list_interval = std::chrono::seconds(10);
-// The reader's long poll of the operators' topic ends after this fraction of apply_within. The
-// store does not always wake a waiting read, and a connection may have gone silent.
-constexpr double operators_poll_fraction = 0.5;
 // Delay before a failed long poll is followed by a read that does not wait.
 constexpr duration lost_wait_retry_delay = std::chrono::milliseconds(50);
 // Each news message holds the records of this many most recent reads, so that the loss of one
--- a/src/azureshore/sharing/internal/sharing_constants.hpp
+++ b/src/azureshore/sharing/internal/sharing_constants.hpp
@@ -15,6 +15,9 @@
 // Daemons ranked before this read the store when the ones before them do not. Those ranked after it
 // ask other daemons first.
 inline constexpr std::size_t standby_reader_count = 4;
+// The reader's long poll of the operators' topic ends after this fraction of apply_within. The
+// store does not always wake a waiting read, and a connection may have gone silent.
+inline constexpr double operators_poll_fraction = 0.5;
 // Daemons that are asked for what this one has missed.
 inline constexpr std::size_t pulled_daemons = 3;
 // Delay before a failed call to the store is retried.
--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -19,6 +19,7 @@
     void receive(const wire::envelope& received);
     void broadcast_crash_suspicion(std::uint64_t fingerprint);
     [[nodiscard]] bool topics_listed() const;
+    [[nodiscard]] bool is_current(wire::shared_topic kind) const;
 
     members known_members;
     bool members_listed = false;
--- a/src/azureshore/sharing/store_sharing.cpp
+++ b/src/azureshore/sharing/store_sharing.cpp
@@ -215,6 +215,14 @@
     return is_news;
 }
 
+bool store_sharing::state::is_current(wire::shared_topic kind) const
+{
+    // The reader knows what the store held when its long poll began.
+    const auto limit = fraction_of(this->settings.apply_within, 1 + operators_poll_fraction);
+    const auto& topic = this->topic_for(kind);
+    return topic.listed && !topic.missed_records && this->now() - topic.current_as_of < limit;
+}
+
 bool store_sharing::state::topics_listed() const
 {
     return this->topics[0].listed && this->topics[1].listed;
@@ -257,6 +265,11 @@
     return this->inner->members_listed;
 }
 
+bool store_sharing::is_current(wire::shared_topic topic) const
+{
+    return this->inner->is_current(topic);
+}
+
 wire::topic_position store_sharing::next_position(wire::shared_topic topic) const
 {
     return this->inner->topic_for(topic).next;
--- a/src/azureshore/sharing/store_sharing.hpp
+++ b/src/azureshore/sharing/store_sharing.hpp
@@ -136,6 +136,10 @@
     // Returns whether the announcements of the other daemons have been listed.
     [[nodiscard]] bool members_listed() const;
 
+    // Returns whether this daemon lately knew all that the store held of a topic, as far as it has
+    // heard.
+    [[nodiscard]] bool is_current(wire::shared_topic topic) const;
+
     // Returns the position after the last record of a topic that this daemon knows.
     [[nodiscard]] wire::topic_position next_position(wire::shared_topic topic) const;
 
--- a/tests/balance/dispatcher_tests.cpp
+++ b/tests/balance/dispatcher_tests.cpp
@@ -74,6 +74,20 @@
     BOOST_TEST(cluster.simulation.outcomes.at(key).status == 404);
 }
 
+// Guards against a 404 for a route that the daemon has not heard of yet.
+BOOST_AUTO_TEST_CASE(a_request_without_a_route_may_be_retried_if_the_configuration_may_be_outdated)
+{
+    uniform_cluster cluster(1, 2, true);
+    bool is_latest = false;
+    cluster.simulation.dispatcher(0).set_configuration_check([&is_latest] { return is_latest; });
+    const auto early = cluster.simulation.request(0, "/nothing/here");
+    BOOST_TEST(cluster.simulation.outcomes.at(early).status == 503);
+    BOOST_TEST(cluster.simulation.outcomes.at(early).refused->retry_after.has_value());
+    is_latest = true;
+    const auto late = cluster.simulation.request(0, "/nothing/here");
+    BOOST_TEST(cluster.simulation.outcomes.at(late).status == 404);
+}
+
 BOOST_AUTO_TEST_CASE(a_request_that_arrives_before_the_configuration_is_served_once_it_is_known)
 {
     dispatch_simulation simulation(1, 1);
--- a/tests/sharing/store_sharing_tests.cpp
+++ b/tests/sharing/store_sharing_tests.cpp
@@ -382,6 +382,36 @@
     BOOST_TEST(cluster->known_value(other, shared_topic::operators, "config") == "2");
 }
 
+// Guards against a daemon that tells callers what does not exist by a configuration that may be
+// outdated, and against one that doubts the latest one without a reason.
+BOOST_AUTO_TEST_CASE(a_daemon_knows_whether_it_may_have_missed_records)
+{
+    auto cluster = settled_cluster(daemon_count, 22);
+    const auto count_current = [&cluster] {
+        std::size_t count = 0;
+        for (std::size_t i = 0; i < daemon_count; ++i) {
+            count += cluster->sharing_of(i).is_current(shared_topic::operators) ? 1 : 0;
+        }
+        return count;
+    };
+    for (int i = 0; i < 600; ++i) {
+        cluster->clock.run_for(50ms);
+        BOOST_REQUIRE(count_current() == daemon_count);
+    }
+    cluster->store.unanswered_callers.insert("*");
+    cluster->clock.run_for(2 * apply_bound);
+    BOOST_TEST(count_current() == 0U);
+    cluster->store.unanswered_callers.clear();
+    cluster->clock.run_for(apply_bound);
+    BOOST_TEST(count_current() == daemon_count);
+    constexpr std::size_t cut_off = 5;
+    cluster->disconnected.insert(cut_off);
+    cluster->store.unanswered_callers.insert(cluster->name_of(cut_off).value);
+    cluster->clock.run_for(2 * apply_bound);
+    BOOST_TEST(!cluster->sharing_of(cut_off).is_current(shared_topic::operators));
+    BOOST_TEST(count_current() == daemon_count - 1);
+}
+
 BOOST_AUTO_TEST_CASE(every_daemon_learns_the_total_request_rate)
 {
     auto cluster = settled_cluster(daemon_count, 18);
