Compare how far daemons knew a topic before a restore

The gateways of a data centre that was cut off, and that reached the restored store before they reached the others, kept the backup's configuration until it was written again.

Cause: only daemons that had listed the store themselves asked what others knew, and stopped after the first answers, which came from daemons that had missed the same. Afterwards epoch and offsets agreed everywhere, so nobody asked again.

A daemon that knew it less far asks for the operators' topic alone, and about six of those that knew it further tell a reader that lacks something. The broadcast of what was learned is gone. An answer counts once all its parts have come, a lifted order is not learned again from a daemon that missed the lifting, and validity times from messages are limited before they are used.

--- a/src/azureshore/sharing/internal/earlier_records.cpp
+++ b/src/azureshore/sharing/internal/earlier_records.cpp
@@ -18,6 +18,9 @@
 constexpr duration earlier_records_window = std::chrono::seconds(3);
 // For this long after the first answer, a daemon that listed a restored store takes further ones.
 constexpr duration further_answers_window = std::chrono::milliseconds(300);
+// Of the daemons that know more from before a restore than the reader does, as many tell the reader
+// after each of its news if all of them do.
+constexpr double telling_daemons = 6;
 // The time between two requests to others by a daemon that listed a restored store.
 constexpr duration earlier_records_retry_delay = std::chrono::milliseconds(500);
 
@@ -87,18 +90,46 @@
                     [](state& self) { self.ask_for_earlier_records(); });
 }
 
-void store_sharing::state::heard_earlier_records(topic_state& topic,
-                                                 const wire::topic_snapshot& snapshot) const
+void store_sharing::state::end_search(topic_state& topic) const
 {
-    // Only an answer ends the search: a broadcast may come from another daemon that listed the
-    // restored store. The earlier records are at the end of a snapshot, so its last part counts.
-    if (snapshot.broadcast_id == 0 && snapshot.part + 1 == snapshot.parts &&
-        snapshot.next.epoch == topic.next.epoch &&
-        std::exchange(topic.seeks_earlier_records, false)) {
+    if (std::exchange(topic.seeks_earlier_records, false)) {
         topic.answers_taken_until = this->now() + further_answers_window;
     }
 }
 
+// Asks for what others know from before the store was restored, without what it holds now.
+void store_sharing::state::request_earlier_records()
+{
+    auto asked = this->random_members(1);
+    for (const auto& each : this->random_remote_members(1)) {
+        asked.push_back(each);
+    }
+    this->send_to(asked, wire::topics_pull{this->known_members.self(),
+                                           {},
+                                           this->topic_for(wire::shared_topic::registrations).next,
+                                           false,
+                                           0});
+}
+
+// The news come from a daemon that knew the operators' topic up to this position before the store
+// was restored. If that is further than this daemon knew it, records that the store has lost are
+// missing here; if it is less far, the reader lacks them.
+void store_sharing::state::compare_knowledge(const wire::topic_news& news)
+{
+    auto& operators = this->topic_for(wire::shared_topic::operators);
+    if (!operators.listed || news.next.epoch != operators.next.epoch) {
+        return;
+    }
+    if (news.operators_before > operators.before) {
+        this->request_earlier_records();
+    }
+    else if (news.operators_before < operators.before && this->is_chosen_to_call(telling_daemons)) {
+        if (const auto reader_entry = this->known_members.find(news.reader)) {
+            this->send_all_records(*reader_entry, operators);
+        }
+    }
+}
+
 // Called when another daemon's snapshot has been applied.
 void store_sharing::state::merge_held_list(topic_state& topic)
 {
@@ -117,47 +148,61 @@
 }
 
 void store_sharing::state::take_earlier_records(topic_state& topic,
-                                                const wire::topic_snapshot& snapshot)
+                                                const wire::topic_position& sender_next,
+                                                const snapshot_content& content)
 {
-    const bool looks_for_them = this->now() - this->started_at < earlier_records_window ||
-                                topic.seeks_earlier_records ||
-                                this->now() < topic.answers_taken_until;
-    // A sender at the same position has already discarded the records that were written again.
-    if (!looks_for_them && snapshot.next != topic.next) {
+    const bool looks_for_them =
+        this->now() - this->started_at < earlier_records_window || topic.seeks_earlier_records ||
+        this->now() < topic.answers_taken_until || content.before > topic.before;
+    // A sender at the same position has already discarded the records that were written again. If
+    // it is behind, this daemon must know all that was written or removed since.
+    if (sender_next != topic.next &&
+        (!looks_for_them || sender_next.offset < topic.history_begin)) {
         return;
     }
-    if (snapshot.next.epoch == topic.next.epoch) {
-        bool learned = false;
-        for (const auto& each : snapshot.earlier_records) {
-            const auto known = topic.newest_records.find(each.record.key);
-            const bool written_again = known != topic.newest_records.end() &&
-                                       known->second.record.offset >= snapshot.next.offset;
-            learned = (!written_again && this->take_earlier_record(topic, each)) || learned;
-        }
-        if (learned && topic.restore_passed_on) {
-            this->broadcast_snapshot(topic);
+    for (const auto& each : content.earlier_records) {
+        if (!is_written_since(topic, each.record.key, sender_next.offset)) {
+            this->take_earlier_record(topic, each);
         }
+    }
+    topic.before = std::max(topic.before, content.before);
+}
+
+// Whether a record of a key was written, or removed, at an offset or later.
+bool store_sharing::state::is_written_since(const topic_state& topic, const std::string& key,
+                                            std::uint64_t offset)
+{
+    const auto known = topic.newest_records.find(key);
+    return (known != topic.newest_records.end() && known->second.record.offset >= offset) ||
+           std::any_of(topic.removed_keys.lower_bound(offset), topic.removed_keys.end(),
+                       [&](const auto& removed) { return removed.second.key == key; });
+}
+
+// The sender does not know yet that the store was restored. Its registrations can't be
+// distinguished from those of backend servers that have registered again since.
+void store_sharing::state::take_records_of_earlier_epoch(topic_state& topic,
+                                                         const wire::topic_snapshot& snapshot)
+{
+    const bool looks_for_them = this->now() - this->started_at < earlier_records_window ||
+                                topic.seeks_earlier_records ||
+                                this->now() < topic.answers_taken_until;
+    if (!looks_for_them || topic.kind != wire::shared_topic::operators) {
         return;
     }
-    // The sender does not know yet that the store was restored. Its registrations can't be
-    // distinguished from those of backend servers that have registered again since.
-    if (topic.kind == wire::shared_topic::operators) {
-        for (const auto& each : snapshot.records) {
-            this->take_earlier_record(topic, {each, rewrite_grace});
-        }
+    for (const auto& each : snapshot.records) {
+        this->take_earlier_record(topic, {each, rewrite_grace});
     }
 }
 
-bool store_sharing::state::take_earlier_record(topic_state& topic,
+void store_sharing::state::take_earlier_record(topic_state& topic,
                                                const wire::earlier_record& record)
 {
-    if (!this->hooks.take_earlier_record(topic.kind, record)) {
-        return false;
+    auto taken = record;
+    taken.valid_for = std::clamp(record.valid_for, duration{}, max_age);
+    if (this->hooks.take_earlier_record(topic.kind, taken)) {
+        topic.earlier_records[taken.record.key] = {
+            taken.record.value, this->now() + taken.valid_for, taken.record.dropped_value};
     }
-    topic.earlier_records[record.record.key] = {
-        record.record.value, this->now() + std::clamp(record.valid_for, duration{}, max_age),
-        record.record.dropped_value};
-    return true;
 }
 
 } // namespace azureshore::sharing
--- a/src/azureshore/sharing/internal/joining.cpp
+++ b/src/azureshore/sharing/internal/joining.cpp
@@ -350,7 +350,8 @@
                                        received.earlier_records.begin(),
                                        received.earlier_records.end());
     }
-    partial.clear();
+    content.before = part.before;
+    partial.erase(found);
     for (auto& each : content.earlier_records) {
         each.valid_for = std::clamp(each.valid_for, duration{}, max_age);
     }
@@ -364,17 +365,28 @@
     if (snapshot.parts == 0) {
         return;
     }
-    if (topic.listed && snapshot.next <= topic.next) {
-        this->take_earlier_records(topic, snapshot);
-        heard_earlier_records(topic, snapshot);
+    if (topic.listed && snapshot.next.epoch < topic.next.epoch) {
+        this->take_records_of_earlier_epoch(topic, snapshot);
         return;
     }
     const auto content = assemble_snapshot(topic, snapshot);
     if (!content) {
         return;
     }
-    this->apply_list(topic, snapshot.next, *content);
-    heard_earlier_records(topic, snapshot);
+    const bool has_news = !topic.listed || snapshot.next > topic.next;
+    if (has_news) {
+        this->apply_list(topic, snapshot.next, *content);
+    }
+    else {
+        this->take_earlier_records(topic, snapshot.next, *content);
+    }
+    // A broadcast may come from another daemon that listed the restored store.
+    if (snapshot.broadcast_id == 0) {
+        this->end_search(topic);
+    }
+    if (!has_news) {
+        return;
+    }
     topic.missed_records = false;
     topic.current_as_of = this->now() - std::clamp(snapshot.age, duration{}, max_age);
     this->merge_held_list(topic);
--- a/src/azureshore/sharing/internal/messages.cpp
+++ b/src/azureshore/sharing/internal/messages.cpp
@@ -91,6 +91,7 @@
     part.next = topic.next;
     part.age = now - topic.current_as_of;
     part.snapshot_id = this->hooks.random();
+    part.before = topic.before;
     std::vector<wire::topic_snapshot> snapshot;
     for (auto& each : split_by_size(records)) {
         snapshot.push_back(part);
@@ -270,6 +271,7 @@
         // The parts read so far have not been passed on.
         news.operators_next.offset = operators.recent_reads.back().first_offset;
     }
+    news.operators_before = operators.before;
     news.members_digest = this->known_members.digest();
     for (const auto& each : topic.recent_reads) {
         news.records.insert(news.records.end(), each.records.begin(), each.records.end());
@@ -356,6 +358,9 @@
         this->count_missed_reports();
         this->report_to_parent();
     }
+    if (news.ends_round) {
+        this->compare_knowledge(news);
+    }
     auto& operators = this->topic_for(wire::shared_topic::operators);
     if (&topic != &operators && news.operators_next > operators.next) {
         this->fetch_missed_records(operators);
--- a/src/azureshore/sharing/internal/reading.cpp
+++ b/src/azureshore/sharing/internal/reading.cpp
@@ -72,7 +72,6 @@
         const bool restored = topic.listed && next.epoch > topic.next.epoch;
         this->apply_list(topic, next, {result.records, {}, {}});
         if (restored) {
-            topic.restore_passed_on = true;
             this->seek_earlier_records(topic);
         }
     }
--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -64,9 +64,11 @@
         std::vector<platform::keyed_record> records;
         std::vector<wire::shared_record> removals;
         std::vector<wire::earlier_record> earlier_records;
+        wire::topic_position before{};
     };
     // What a daemon knew of a topic before it listed the topic again.
     struct topic_content {
+        wire::topic_position next{};
         std::map<std::string, newest_record> newest_records;
         std::map<std::uint64_t, removed_key> removed_keys;
         std::map<std::string, kept_record> earlier_records;
@@ -104,9 +106,9 @@
         // Until when this daemon takes further answers, as the first one may come from a daemon
         // that has missed the same.
         time_point answers_taken_until{};
-        // This daemon listed a restored store while it ran, and others may have taken over the list
-        // without what this daemon learns since.
-        bool restore_passed_on = false;
+        // How far this daemon knew the topic before the store was last restored, by itself or from
+        // others. Whoever knew less has missed records that the store may have lost.
+        wire::topic_position before{};
         // This daemon listed the topic again, and the others may lack records of that list.
         bool snapshot_unsent = false;
     };
@@ -194,11 +196,16 @@
     // Asks others until one has told what it knows from before the store was restored.
     void seek_earlier_records(topic_state& topic);
     void ask_for_earlier_records();
-    void heard_earlier_records(topic_state& topic, const wire::topic_snapshot& snapshot) const;
+    void end_search(topic_state& topic) const;
+    void request_earlier_records();
+    void compare_knowledge(const wire::topic_news& news);
     // Takes what others know from before a restore if this daemon may lack it.
-    void take_earlier_records(topic_state& topic, const wire::topic_snapshot& snapshot);
-    // Returns whether the record is newer than what this daemon knew.
-    bool take_earlier_record(topic_state& topic, const wire::earlier_record& record);
+    void take_earlier_records(topic_state& topic, const wire::topic_position& sender_next,
+                              const snapshot_content& content);
+    static bool is_written_since(const topic_state& topic, const std::string& key,
+                                 std::uint64_t offset);
+    void take_records_of_earlier_epoch(topic_state& topic, const wire::topic_snapshot& snapshot);
+    void take_earlier_record(topic_state& topic, const wire::earlier_record& record);
     // Returns the whole content once every part has arrived.
     static std::optional<snapshot_content> assemble_snapshot(topic_state& topic,
                                                              const wire::topic_snapshot& part);
--- a/src/azureshore/sharing/store_sharing.cpp
+++ b/src/azureshore/sharing/store_sharing.cpp
@@ -68,12 +68,12 @@
         this->members_listed_at.reset();
     }
     const bool first = !std::exchange(topic.listed, true);
-    topic.next = next;
+    topic.before = std::max(restored ? topic.next : topic.before, content.before);
     topic.history_begin = next.offset;
     topic.recent_reads.clear();
-    const topic_content known{std::exchange(topic.newest_records, {}),
-                              std::exchange(topic.removed_keys, {}),
-                              std::exchange(topic.earlier_records, {})};
+    const topic_content known{
+        std::exchange(topic.next, next), std::exchange(topic.newest_records, {}),
+        std::exchange(topic.removed_keys, {}), std::exchange(topic.earlier_records, {})};
     for (const auto& each : content.records) {
         topic.newest_records[each.key] = {{each.offset, each.key, each.value}, each.offset};
     }
@@ -113,7 +113,8 @@
                                  listed->second.record == before->second.record;
         const bool still_lacking =
             listed == topic.newest_records.end() && before == known.newest_records.end();
-        if ((same_record || still_lacking) && each.valid_until > this->now()) {
+        if ((same_record || still_lacking) && each.valid_until > this->now() &&
+            !is_written_since(topic, key, known.next.offset)) {
             topic.earlier_records.emplace(key, each);
             still_newer.push_back(
                 {{0, key, each.value, each.dropped_value}, each.valid_until - this->now()});
--- a/src/azureshore/wire/internal/fields.hpp
+++ b/src/azureshore/wire/internal/fields.hpp
@@ -73,11 +73,12 @@
 AZURESHORE_FIELDS(topic_position, m.epoch, m.offset);
 AZURESHORE_FIELDS(shared_record, m.offset, m.key, m.value, m.dropped_value);
 AZURESHORE_FIELDS(topic_news, m.reader, m.topic, m.from, m.next, m.records, m.operators_next,
-                  m.members_digest, m.request_rate, m.ends_round, m.broadcast_id);
+                  m.members_digest, m.request_rate, m.ends_round, m.broadcast_id,
+                  m.operators_before);
 AZURESHORE_FIELDS(member_hello, m.sender, m.members_digest, m.request_rate);
 AZURESHORE_FIELDS(earlier_record, m.record, m.valid_for);
 AZURESHORE_FIELDS(topic_snapshot, m.topic, m.next, m.age, m.part, m.parts, m.records, m.snapshot_id,
-                  m.broadcast_id, m.earlier_records);
+                  m.broadcast_id, m.earlier_records, m.before);
 AZURESHORE_FIELDS(member_entry, m.name, m.where, m.data_centre, m.incarnation, m.state);
 AZURESHORE_FIELDS(member_changes, m.members);
 AZURESHORE_FIELDS(member_digests, m.sender, m.buckets, m.is_answer);
--- a/src/azureshore/wire/sharing_messages.hpp
+++ b/src/azureshore/wire/sharing_messages.hpp
@@ -64,6 +64,8 @@
     bool ends_round = true;
     // Random; each daemon handles and forwards the message once.
     std::uint64_t broadcast_id = 0;
+    // How far the reader knew the operators' topic before the store was last restored.
+    topic_position operators_before{};
 
     bool operator==(const topic_news&) const = default;
 };
@@ -96,6 +98,8 @@
     // answers one daemon.
     std::uint64_t broadcast_id = 0;
     std::vector<earlier_record> earlier_records;
+    // How far the sender knew the topic before the store was last restored.
+    topic_position before{};
 
     bool operator==(const topic_snapshot&) const = default;
 };
