Keep the version in force when an older one is listed again

A gateway that started took an older version of the configuration if the others had listed the topic again after the operators had written an older version first.

Cause: a further list in the same epoch ended what was known from before the restore if its record differed from the one listed before.

The owner of the records now says which listed records are outdated, as it does for a restored list, and these stay known from before.

restored_store and sharing pass.

--- a/src/azureshore/daemon/internal/gateway_store.cpp
+++ b/src/azureshore/daemon/internal/gateway_store.cpp
@@ -141,7 +141,7 @@
     made.replace_records = [this](wire::shared_topic topic,
                                   const std::vector<platform::keyed_record>& records,
                                   const std::vector<wire::earlier_record>& earlier) {
-        this->listed(topic, records, earlier);
+        return this->listed(topic, records, earlier);
     };
     made.merge_restored_records = [this](wire::shared_topic topic,
                                          const std::vector<platform::keyed_record>& records) {
@@ -198,16 +198,15 @@
     }
 }
 
-void gateway_store::listed(wire::shared_topic topic,
-                           const std::vector<platform::keyed_record>& records,
-                           const std::vector<wire::earlier_record>& earlier)
+std::set<std::string> gateway_store::listed(wire::shared_topic topic,
+                                            const std::vector<platform::keyed_record>& records,
+                                            const std::vector<wire::earlier_record>& earlier)
 {
     if (topic == wire::shared_topic::operators) {
-        this->take_all_operator_records(records, earlier);
-    }
-    else {
-        this->take_all_registrations(records, earlier);
+        return this->take_all_operator_records(records, earlier);
     }
+    this->take_all_registrations(records, earlier);
+    return {};
 }
 
 std::set<std::string> gateway_store::restored(wire::shared_topic topic,
@@ -239,9 +238,11 @@
     return next != nullptr && next->version < this->version;
 }
 
-void gateway_store::take_all_operator_records(const std::vector<platform::keyed_record>& records,
-                                              const std::vector<wire::earlier_record>& earlier)
+std::set<std::string>
+gateway_store::take_all_operator_records(const std::vector<platform::keyed_record>& records,
+                                         const std::vector<wire::earlier_record>& earlier)
 {
+    std::set<std::string> outdated;
     this->out_of_service.clear();
     for (const auto& [data_centre, until] : this->unconfirmed) {
         this->out_of_service.insert(data_centre);
@@ -251,9 +252,14 @@
         this->take_earlier_operator_record(each);
     }
     for (const auto& each : records) {
-        this->take_operator_record(each, this->platform.read_operator_record(each));
+        auto read = this->platform.read_operator_record(each);
+        if (this->is_outdated(read)) {
+            outdated.insert(each.key);
+        }
+        this->take_operator_record(each, std::move(read));
     }
     this->hooks.out_of_service(this->out_of_service);
+    return outdated;
 }
 
 // What was accepted stays in force until the operators have written it again.
--- a/src/azureshore/daemon/internal/gateway_store.hpp
+++ b/src/azureshore/daemon/internal/gateway_store.hpp
@@ -59,8 +59,9 @@
     sharing::sharing_hooks sharing_hooks();
     sharing::shared_topics shared_topics() const;
     void received(std::string_view bytes);
-    void listed(wire::shared_topic topic, const std::vector<platform::keyed_record>& records,
-                const std::vector<wire::earlier_record>& earlier);
+    std::set<std::string> listed(wire::shared_topic topic,
+                                 const std::vector<platform::keyed_record>& records,
+                                 const std::vector<wire::earlier_record>& earlier);
     std::set<std::string> restored(wire::shared_topic topic,
                                    const std::vector<platform::keyed_record>& records);
     sharing::record_effect changed(wire::shared_topic topic, const platform::keyed_record& record);
@@ -72,8 +73,9 @@
     void keep_unconfirmed(const data_centre_id& name, duration valid_for);
     void take_operator_record(const platform::keyed_record& record,
                               absl::StatusOr<operator_record> read);
-    void take_all_operator_records(const std::vector<platform::keyed_record>& records,
-                                   const std::vector<wire::earlier_record>& earlier);
+    std::set<std::string>
+    take_all_operator_records(const std::vector<platform::keyed_record>& records,
+                              const std::vector<wire::earlier_record>& earlier);
     std::set<std::string>
     merge_operator_records(const std::vector<platform::keyed_record>& records);
     bool take_registration(const platform::keyed_record& record);
--- a/src/azureshore/sharing/store_sharing.cpp
+++ b/src/azureshore/sharing/store_sharing.cpp
@@ -120,7 +120,16 @@
                 {{0, key, each.value, each.dropped_value}, each.valid_until - this->now()});
         }
     }
-    this->hooks.replace_records(topic.kind, records, still_newer);
+    for (const auto& key : this->hooks.replace_records(topic.kind, records, still_newer)) {
+        const auto kept = known.earlier_records.find(key);
+        const auto before = known.newest_records.find(key);
+        if (kept != known.earlier_records.end() && kept->second.value) {
+            topic.earlier_records[key] = kept->second;
+        }
+        else if (before != known.newest_records.end()) {
+            topic.earlier_records[key] = {before->second.record.value, this->now() + max_age};
+        }
+    }
 }
 
 void store_sharing::state::merge_restored_list(topic_state& topic, const topic_content& known,
--- a/src/azureshore/sharing/store_sharing.hpp
+++ b/src/azureshore/sharing/store_sharing.hpp
@@ -52,9 +52,11 @@
     // Writes this daemon's announcement to the store; `done` receives whether that succeeded.
     std::function<void(const std::string& announcement, std::function<void(bool)> done)> announce;
     // Replaces all that is known of a topic by the newest record of every key. `earlier` holds what
-    // another daemon knows to be newer than these, from before the store was restored.
-    std::function<void(wire::shared_topic, const std::vector<platform::keyed_record>& records,
-                       const std::vector<wire::earlier_record>& earlier)>
+    // another daemon knows to be newer than these, from before the store was restored. Returns the
+    // keys whose known record is newer and stays in force.
+    std::function<std::set<std::string>(wire::shared_topic,
+                                        const std::vector<platform::keyed_record>& records,
+                                        const std::vector<wire::earlier_record>& earlier)>
         replace_records;
     // Merges the records of a store that was restored from a backup into what is known of a topic,
     // which may be newer. Returns the keys whose known record, or removal, is newer.
--- a/tests/support/sharing_cluster.cpp
+++ b/tests/support/sharing_cluster.cpp
@@ -307,14 +307,22 @@
     return count;
 }
 
-void sharing_cluster::daemon_process::replace_records(
-    wire::shared_topic topic, const std::vector<platform::keyed_record>& records,
-    const std::vector<wire::earlier_record>& earlier)
+std::set<std::string>
+sharing_cluster::daemon_process::replace_records(wire::shared_topic topic,
+                                                 const std::vector<platform::keyed_record>& records,
+                                                 const std::vector<wire::earlier_record>& earlier)
 {
     auto& values = this->values_of(topic);
-    values.clear();
+    const auto known = std::exchange(values, {});
+    std::set<std::string> outdated;
     for (const auto& each : records) {
         values[each.key] = each.value.value_or("");
+        const auto before = known.find(each.key);
+        if (topic == wire::shared_topic::operators && each.key == "config" &&
+            before != known.end() && is_earlier_version(values[each.key], before->second)) {
+            values[each.key] = before->second;
+            outdated.insert(each.key);
+        }
     }
     for (const auto& each : earlier) {
         if (each.record.value) {
@@ -324,6 +332,7 @@
             this->remove_registration(each.record);
         }
     }
+    return outdated;
 }
 
 bool sharing_cluster::daemon_process::is_removed(const std::string& key,
@@ -438,7 +447,7 @@
     hooks.replace_records = [owner](wire::shared_topic topic,
                                     const std::vector<platform::keyed_record>& records,
                                     const std::vector<wire::earlier_record>& earlier) {
-        owner.lock()->replace_records(topic, records, earlier);
+        return owner.lock()->replace_records(topic, records, earlier);
     };
     hooks.merge_restored_records = [owner](wire::shared_topic topic,
                                            const std::vector<platform::keyed_record>& records) {
--- a/tests/support/sharing_cluster.hpp
+++ b/tests/support/sharing_cluster.hpp
@@ -139,9 +139,9 @@
         {
             return this->known_values[static_cast<std::size_t>(topic)];
         }
-        void replace_records(wire::shared_topic topic,
-                             const std::vector<platform::keyed_record>& records,
-                             const std::vector<wire::earlier_record>& earlier);
+        std::set<std::string> replace_records(wire::shared_topic topic,
+                                              const std::vector<platform::keyed_record>& records,
+                                              const std::vector<wire::earlier_record>& earlier);
         // The values of the configuration are its versions, which never fall back. What the
         // operators wrote stays in force although the store lacks it.
         std::set<std::string>
