Tell a reader what it lacks although it was declared gone

One daemon of a data centre that had been cut off kept the backup's configuration for seconds after the cut had healed.

Cause: it counted itself as the reader, and the others, which had declared it gone, received its news but sent it nothing. They looked it up among the daemons that are not gone. The class: what was true during a cut is believed after it.

Ruled out: lost messages.

A daemon whose news arrive lives, so its last known address is used.

--- a/src/azureshore/sharing/internal/earlier_records.cpp
+++ b/src/azureshore/sharing/internal/earlier_records.cpp
@@ -124,7 +124,8 @@
         this->request_earlier_records();
     }
     else if (news.operators_before < operators.before && this->is_chosen_to_call(telling_daemons)) {
-        if (const auto reader_entry = this->known_members.find(news.reader)) {
+        // A reader whose news arrive is alive, even if it was declared gone while it was cut off.
+        if (const auto reader_entry = this->known_members.last_entry(news.reader)) {
             this->send_all_records(*reader_entry, operators);
         }
     }
