--- a/tests/restored_store/restored_store_tests.cpp
+++ b/tests/restored_store/restored_store_tests.cpp
@@ -362,9 +362,8 @@
 }
 
 // The same while the data centre reaches the restored store before it reaches the others.
-BOOST_DATA_TEST_CASE(
-    a_data_centre_that_reaches_a_restored_store_before_the_others_learns_what_it_missed,
-    (std::vector<std::size_t>{13, 60}), daemons)
+BOOST_DATA_TEST_CASE(a_data_centre_that_reaches_a_restored_store_first_learns_what_it_missed,
+                     (std::vector<std::size_t>{13, 60}), daemons)
 {
     constexpr std::size_t data_centres = 3;
     const auto schedules = test_support::number_from("AZURESHORE_SCHEDULES", 60);
