Take registrations known from before a restore from a daemon that is behind

A daemon that listed a restored store itself ignored what another one knew of removals if the other had read the registrations less far, and ended its search with that answer.

Cause: the rule that keeps a lifted order from being learned again was applied to registrations, which tell by their run and sequence which one is newer.

--- a/src/azureshore/sharing/internal/earlier_records.cpp
+++ b/src/azureshore/sharing/internal/earlier_records.cpp
@@ -148,18 +148,19 @@
     }
 }
 
-void store_sharing::state::take_earlier_records(topic_state& topic,
+bool store_sharing::state::take_earlier_records(topic_state& topic,
                                                 const wire::topic_position& sender_next,
                                                 const snapshot_content& content)
 {
     const bool looks_for_them =
         this->now() - this->started_at < earlier_records_window || topic.seeks_earlier_records ||
         this->now() < topic.answers_taken_until || content.before > topic.before;
-    // A sender at the same position has already discarded the records that were written again. If
-    // it is behind, this daemon must know all that was written or removed since.
-    if (sender_next != topic.next &&
-        (!looks_for_them || sender_next.offset < topic.history_begin)) {
-        return;
+    // A sender that is behind may tell an operators' record that was removed since. Registrations
+    // tell themselves which one is newer.
+    const bool may_be_removed =
+        topic.kind == wire::shared_topic::operators && sender_next.offset < topic.history_begin;
+    if (sender_next != topic.next && (!looks_for_them || may_be_removed)) {
+        return false;
     }
     for (const auto& each : content.earlier_records) {
         if (!is_written_since(topic, each.record.key, sender_next.offset)) {
@@ -167,6 +168,7 @@
         }
     }
     topic.before = std::max(topic.before, content.before);
+    return true;
 }
 
 // Whether a record of a key was written, or removed, at an offset or later.
--- a/src/azureshore/sharing/internal/joining.cpp
+++ b/src/azureshore/sharing/internal/joining.cpp
@@ -374,14 +374,15 @@
         return;
     }
     const bool has_news = !topic.listed || snapshot.next > topic.next;
+    bool taken = true;
     if (has_news) {
         this->apply_list(topic, snapshot.next, *content);
     }
     else {
-        this->take_earlier_records(topic, snapshot.next, *content);
+        taken = this->take_earlier_records(topic, snapshot.next, *content);
     }
     // A broadcast may come from another daemon that listed the restored store.
-    if (snapshot.broadcast_id == 0) {
+    if (taken && snapshot.broadcast_id == 0) {
         this->end_search(topic);
     }
     if (!has_news) {
--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -200,7 +200,8 @@
     void request_earlier_records();
     void compare_knowledge(const wire::topic_news& news);
     // Takes what others know from before a restore if this daemon may lack it.
-    void take_earlier_records(topic_state& topic, const wire::topic_position& sender_next,
+    // Returns whether the sender knew enough of what was written since.
+    bool take_earlier_records(topic_state& topic, const wire::topic_position& sender_next,
                               const snapshot_content& content);
     static bool is_written_since(const topic_state& topic, const std::string& key,
                                  std::uint64_t offset);
--- a/tests/restored_store/restored_store_tests.cpp
+++ b/tests/restored_store/restored_store_tests.cpp
@@ -691,6 +691,39 @@
     cluster.check_known(shared_topic::registrations, "plate-2", "run 2");
 }
 
+// Guards against requests to a backend server that is gone, because the others' answers are behind
+// the list of a daemon that starts while registrations are renewed.
+BOOST_AUTO_TEST_CASE(a_daemon_that_lists_a_restored_store_learns_removals_while_others_register)
+{
+    constexpr std::size_t daemons = 13;
+    for (const std::size_t started : {0UL, 7UL}) {
+        restored_cluster cluster(daemons, 37);
+        cluster.first_start = false;
+        int renewals = 0;
+        const auto renew_for = [&](duration time) {
+            constexpr duration interval = 20ms;
+            for (duration passed{}; passed < time; passed += interval) {
+                cluster.store.put(sharing_cluster::registrations, "plate-1",
+                                  "ready " + std::to_string(++renewals));
+                cluster.clock.run_for(interval);
+            }
+        };
+        cluster.store.put(sharing_cluster::registrations, "plate-2", "ready");
+        cluster.store.take_backup();
+        cluster.store.put(sharing_cluster::registrations, "plate-2", std::nullopt);
+        renew_for(apply_bound);
+        cluster.kill(started);
+        cluster.store.restore_backup();
+        cluster.disconnected.insert(started);
+        cluster.start(started);
+        renew_for(apply_bound);
+        cluster.disconnected.clear();
+        renew_for(apply_bound);
+        BOOST_TEST_CONTEXT("started vm-" << started)
+        cluster.check_known(shared_topic::registrations, "plate-2", "");
+    }
+}
+
 // Guards against a daemon that finds no other one, because the restore lost their announcements and
 // the seeds are away.
 BOOST_AUTO_TEST_CASE(a_daemon_that_starts_after_a_restore_finds_the_others_without_seeds)
