Read client accounts from the configuration; treat downloads as idempotent

The configuration of some deployments holds client accounts with keys, a priority and a quota, and routes that need no key. Nothing read them. Routes of the kind "download" were handled like orders, so a failed download was never sent again.

Test: test_users_platform.

--- a/src/azureshore/balance/dispatch_types.hpp
+++ b/src/azureshore/balance/dispatch_types.hpp
@@ -29,6 +29,8 @@
     std::string path;
     // Equal for requests with the same method, path and body.
     std::uint64_t fingerprint = 0;
+    // The key of a client account that the request carries. It must not be logged.
+    std::string account_key;
     // When the last byte of the request was read.
     time_point arrived;
     // How long the caller waits from then on, if stated.
@@ -51,6 +53,8 @@
     std::optional<probe_number> probe;
     // The remaining time until the caller's timeout.
     duration time_left{};
+    // The client account of the request, if it has one.
+    std::optional<account_id> account;
 };
 
 // How an attempt ended.
--- a/src/azureshore/balance/internal/admission.cpp
+++ b/src/azureshore/balance/internal/admission.cpp
@@ -146,6 +146,7 @@
     request.incoming = incoming;
     request.configuration = this->configuration;
     request.matched_route = matched;
+    request.priority = matched->priority;
     request.service = this->service_selector.next(*matched, this->hooks.random);
     const auto caller_timeout = incoming.caller_timeout.value_or(default_caller_timeout);
     request.deadline = incoming.arrived + std::min(matched->timeout, caller_timeout);
--- a/src/azureshore/balance/internal/attempts.cpp
+++ b/src/azureshore/balance/internal/attempts.cpp
@@ -77,7 +77,7 @@
     const auto time_left =
         request.incoming.arrived + std::min(caller_timeout, request.matched_route->timeout) - now;
     this->hooks.send({attempt, request.incoming.number, choice.backend,
-                      backend->registered.endpoint, choice.probe, time_left});
+                      backend->registered.endpoint, choice.probe, time_left, request.account});
 }
 
 void dispatcher::state::start_second_send_timer(const in_flight_request& request,
--- a/src/azureshore/balance/internal/dispatcher_state.hpp
+++ b/src/azureshore/balance/internal/dispatcher_state.hpp
@@ -57,6 +57,10 @@
     std::shared_ptr<const traffic_configuration> configuration;
     const route* matched_route = nullptr;
     service_id service;
+    // The client account, if the request has one.
+    std::optional<account_id> account;
+    // That of the account, or else that of the route. Zero is the most urgent.
+    std::uint32_t priority = 0;
     // The timeout of the route or of the caller, whichever is first.
     time_point deadline;
     std::uint32_t attempts = 0;
--- a/src/azureshore/balance/internal/search.cpp
+++ b/src/azureshore/balance/internal/search.cpp
@@ -349,10 +349,8 @@
         return now + this->response_time_of(request).expected(1.0) >
                request.incoming.arrived + request.matched_route->target_latency;
     };
-    return std::make_tuple(misses_target(left), left.matched_route->priority,
-                           left.incoming.arrived) < std::make_tuple(misses_target(right),
-                                                                    right.matched_route->priority,
-                                                                    right.incoming.arrived);
+    return std::make_tuple(misses_target(left), left.priority, left.incoming.arrived) <
+           std::make_tuple(misses_target(right), right.priority, right.incoming.arrived);
 }
 
 void dispatcher::state::remove_from_queue(in_flight_request& request)
--- a/src/azureshore/balance/traffic_configuration.hpp
+++ b/src/azureshore/balance/traffic_configuration.hpp
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,6 +38,8 @@
     std::uint32_t priority = 0;
     // Maximum number of backend servers that one request is sent to.
     std::uint32_t max_attempts = 1;
+    // Whether requests need no key of a client account.
+    bool authentication_exempt = false;
 
     bool operator==(const route&) const = default;
 };
@@ -55,6 +58,21 @@
     bool operator==(const service_traits&) const = default;
 };
 
+// A client account: who may send requests, and how many.
+struct client_account {
+    account_id name;
+    // A request that carries one of these keys belongs to the account.
+    std::vector<std::string> keys;
+    // Takes precedence over the priority of a route.
+    std::optional<std::uint32_t> priority;
+    // The quota over all daemons: requests per second, and how many more at once. A rate of zero
+    // means that there is no limit.
+    double rate = 0;
+    double burst = 0;
+
+    bool operator==(const client_account&) const = default;
+};
+
 // Limits on the size and duration of callers' requests.
 struct caller_limits {
     std::size_t max_header_bytes = 16UL * 1024UL;
@@ -70,12 +88,17 @@
     std::uint64_t version = 0;
     std::vector<route> routes;
     std::vector<service_traits> services;
+    // If there are any, each request needs the key of one, unless its route is exempt.
+    std::vector<client_account> accounts;
     caller_limits limits;
 
     // Returns the route of the host with the longest matching path prefix, or null if none matches.
     [[nodiscard]] const route* find_route(std::string_view host, std::string_view path) const;
 
     [[nodiscard]] const service_traits* find_service(const service_id& name) const;
+
+    // Returns the account with this key, or null if there is none.
+    [[nodiscard]] const client_account* find_account(std::string_view key) const;
 };
 
 } // namespace azureshore::balance
--- a/src/azureshore/core/ids.hpp
+++ b/src/azureshore/core/ids.hpp
@@ -27,6 +27,7 @@
 using vm_id = basic_id<struct vm_tag>;
 using region_id = basic_id<struct region_tag>;
 using data_centre_id = basic_id<struct data_centre_tag>;
+using account_id = basic_id<struct account_tag>;
 using service_id = basic_id<struct service_tag>;
 using backend_id = basic_id<struct backend_tag>;
 
--- a/tests/users_platform/decode_tests.cpp
+++ b/tests/users_platform/decode_tests.cpp
@@ -55,6 +55,41 @@
     BOOST_TEST((of.limits.idle_timeout == 15s));
 }
 
+// Guards against a second run of an order, and against a download that is never sent again.
+BOOST_AUTO_TEST_CASE(downloads_may_be_repeated_and_other_kinds_may_not)
+{
+    const auto is_idempotent = [](const std::string& kind) {
+        const auto read = users_platform::read_operator_record(record(
+            "config", without(configuration, R"("kind":"safe")", R"("kind":")" + kind + '"')));
+        return std::get<balance::traffic_configuration>(read.value()).routes[0].idempotent;
+    };
+    BOOST_TEST(is_idempotent("download"));
+    BOOST_TEST(!is_idempotent("unsafe"));
+    BOOST_TEST(!is_idempotent("keyed"));
+}
+
+// Guards against requests that are refused, or counted for another, because a client account is
+// read in part.
+BOOST_AUTO_TEST_CASE(client_accounts_are_read_with_their_keys_and_quotas)
+{
+    const std::string accounts =
+        R"("tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1,"rate_per_s":2.5,"burst":4},)"
+        R"({"name":"t2"}],"listeners")";
+    const auto read = users_platform::read_operator_record(
+        record("config", without(configuration, R"("listeners")", accounts)));
+    BOOST_REQUIRE(read.ok());
+    const auto& of = std::get<balance::traffic_configuration>(*read);
+    BOOST_REQUIRE(of.accounts.size() == 2U);
+    BOOST_REQUIRE(of.find_account("k2") != nullptr);
+    BOOST_TEST(of.find_account("k2")->name.value == "t1");
+    BOOST_TEST((of.accounts[0].priority == 1U));
+    BOOST_TEST(of.accounts[0].rate == 2.5);
+    BOOST_TEST(of.accounts[0].burst == 4.0);
+    BOOST_TEST(!of.accounts[1].priority.has_value());
+    BOOST_TEST(of.find_account("") == nullptr);
+    BOOST_TEST(of.find_account("k3") == nullptr);
+}
+
 // Guards against an older configuration that stays in force for all routes because of one route
 // that is written in another way: weights are proportions, and an empty split is no split.
 BOOST_AUTO_TEST_CASE(a_configuration_is_read_whatever_numbers_its_weights_are)
