--- a/src/azureshore/balance/dispatch_types.hpp
+++ b/src/azureshore/balance/dispatch_types.hpp
@@ -122,6 +122,20 @@
     std::optional<duration> backend_time;
 };
 
+// Whether a request lies within the quota of its client account.
+enum class quota_decision : std::uint8_t {
+    granted,
+    exceeded,
+    // Neither is known, as those who keep the quota can't be reached.
+    unavailable,
+};
+
+struct quota_answer {
+    quota_decision decision = quota_decision::unavailable;
+    // The time after which a further request has a chance, unless it was granted.
+    std::optional<duration> retry_after;
+};
+
 struct dispatcher_hooks {
     std::function<time_point()> clock;
     // Runs a function once after a delay.
@@ -134,6 +148,9 @@
     // Either deliver or refuse is called exactly once for each request, unless its caller left.
     std::function<void(request_number, attempt_number)> deliver;
     std::function<void(request_number, const refusal&)> refuse;
+    // Asks for one request of an account's quota. The answer may come at once or later, and must
+    // come within a fraction of a second. Empty if there are no quotas.
+    std::function<void(const account_id&, std::function<void(const quota_answer&)>)> take_quota;
     random_source random;
     // Called with each decision, for the decision log. May be empty.
     observe::decision_hook decided;
