Authenticate requests by the keys of client accounts

Where the configuration holds client accounts, gateways passed callers' keys on to backend servers, passed on whatever account a caller claimed, and served requests with keys that no configuration held.

The dispatcher finds the account of a request by its key when it is admitted and again before each send, so that a removed key ends waiting requests too. Backend servers get the account's name, set by the gateway alone. An unknown key gets 401, or 503 while the configuration may not be the latest. The dispatcher asks its hook for an account's quota before a request is sent and returns what it did not use; nothing answers the hook yet. Deployments without accounts see no change.

--- a/src/azureshore/balance/dispatch_types.hpp
+++ b/src/azureshore/balance/dispatch_types.hpp
@@ -55,6 +55,9 @@
     duration time_left{};
     // The client account of the request, if it has one.
     std::optional<account_id> account;
+    // Whether the configuration has client accounts. If so, what the caller sent in the fields of
+    // the key and the account is not passed on.
+    bool has_accounts = false;
 };
 
 // How an attempt ended.
@@ -96,6 +99,13 @@
     suspect_request,
     // The daemon stops before the request is sure to end.
     stopping,
+    // The request carries no key of a client account.
+    unknown_key,
+    // No key of the configuration, which may not be the latest.
+    no_current_key,
+    quota_exceeded,
+    // It is not known whether the request lies within the quota of its account.
+    quota_unavailable,
 };
 
 std::string_view to_string(refusal_cause cause);
@@ -151,6 +161,8 @@
     // Asks for one request of an account's quota. The answer may come at once or later, and must
     // come within a fraction of a second. Empty if there are no quotas.
     std::function<void(const account_id&, std::function<void(const quota_answer&)>)> take_quota;
+    // Gives back a granted request that was not sent to any backend server. May be empty.
+    std::function<void(const account_id&)> return_quota;
     random_source random;
     // Called with each decision, for the decision log. May be empty.
     observe::decision_hook decided;
--- a/src/azureshore/balance/dispatcher.cpp
+++ b/src/azureshore/balance/dispatcher.cpp
@@ -29,6 +29,14 @@
         return "suspect_request";
     case refusal_cause::stopping:
         return "stopping";
+    case refusal_cause::unknown_key:
+        return "unknown_key";
+    case refusal_cause::no_current_key:
+        return "no_current_key";
+    case refusal_cause::quota_exceeded:
+        return "quota_exceeded";
+    case refusal_cause::quota_unavailable:
+        return "quota_unavailable";
     }
     return "";
 }
--- a/src/azureshore/balance/internal/admission.cpp
+++ b/src/azureshore/balance/internal/admission.cpp
@@ -31,6 +31,7 @@
     }
     this->configuration = std::move(next);
     this->service_selector.reset();
+    this->index_accounts();
     this->start_held_requests();
     return true;
 }
@@ -147,9 +148,14 @@
     request.configuration = this->configuration;
     request.matched_route = matched;
     request.priority = matched->priority;
+    const bool authorized = this->authorize(request);
     request.service = this->service_selector.next(*matched, this->hooks.random);
     const auto caller_timeout = incoming.caller_timeout.value_or(default_caller_timeout);
     request.deadline = incoming.arrived + std::min(matched->timeout, caller_timeout);
+    if (!authorized) {
+        this->refuse(request, this->refusal_of_key());
+        return;
+    }
     this->service(request.service).retries.add_request(this->now());
     const auto expires_at =
         request.deadline + (caller_timeout < matched->timeout ? caller_deadline_grace : duration{});
@@ -159,6 +165,11 @@
         this->refuse(request, this->refusal_while_stopping());
         return;
     }
+    this->request_quota(request);
+}
+
+void dispatcher::state::start(in_flight_request& request)
+{
     // Queued requests go first, unless this one has precedence.
     const auto& queue = this->service(request.service).queue;
     const auto now = this->now();
--- a/src/azureshore/balance/internal/attempts.cpp
+++ b/src/azureshore/balance/internal/attempts.cpp
@@ -31,6 +31,14 @@
         this->refuse(request, this->refusal_while_stopping());
         return;
     }
+    // The key may have been removed since the request was admitted.
+    if (!this->authorize(request)) {
+        this->release_connection(choice);
+        if (request.running_attempts.empty()) {
+            this->refuse(request, this->refusal_of_key());
+        }
+        return;
+    }
     if (!within_budget || backend == nullptr ||
         !this->backends.can_accept(now, *backend, this->traits(request)) ||
         !this->backends.acquire_cold_send(now, *backend, this->traits(request))) {
@@ -77,7 +85,8 @@
     const auto time_left =
         request.incoming.arrived + std::min(caller_timeout, request.matched_route->timeout) - now;
     this->hooks.send({attempt, request.incoming.number, choice.backend,
-                      backend->registered.endpoint, choice.probe, time_left, request.account});
+                      backend->registered.endpoint, choice.probe, time_left, request.account,
+                      this->accounts.has_accounts()});
 }
 
 void dispatcher::state::start_second_send_timer(const in_flight_request& request,
--- a/src/azureshore/balance/internal/dispatch_constants.hpp
+++ b/src/azureshore/balance/internal/dispatch_constants.hpp
@@ -8,7 +8,9 @@
 namespace azureshore::balance {
 
 inline constexpr int first_server_error = 500;
+inline constexpr int status_unauthorized = 401;
 inline constexpr int status_not_found = 404;
+inline constexpr int status_too_many_requests = 429;
 inline constexpr int status_bad_gateway = 502;
 inline constexpr int status_unavailable = 503;
 inline constexpr int status_gateway_timeout = 504;
--- a/src/azureshore/balance/internal/dispatcher_state.hpp
+++ b/src/azureshore/balance/internal/dispatcher_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "azureshore/balance/account_directory.hpp"
 #include "azureshore/balance/dispatcher.hpp"
 #include "azureshore/balance/internal/backend_table.hpp"
 #include "azureshore/balance/internal/crash_tracker.hpp"
@@ -59,6 +60,8 @@
     service_id service;
     // The client account, if the request has one.
     std::optional<account_id> account;
+    // The account whose quota the request has taken from.
+    std::optional<account_id> charged_account;
     // That of the account, or else that of the route. Zero is the most urgent.
     std::uint32_t priority = 0;
     // The timeout of the route or of the caller, whichever is first.
@@ -139,9 +142,19 @@
     void hold_until_ready(const incoming_request& incoming);
     void start_held_requests();
     void admit(const incoming_request& incoming);
+    // Sends an admitted request, or queues it behind those that take precedence.
+    void start(in_flight_request& request);
     [[nodiscard]] bool ends_before_stop(const in_flight_request& request);
     [[nodiscard]] refusal refusal_while_stopping() const;
 
+    // Authorization.
+    void index_accounts();
+    [[nodiscard]] bool authorize(in_flight_request& request);
+    [[nodiscard]] refusal refusal_of_key() const;
+    void request_quota(in_flight_request& request);
+    void handle_quota(const account_id& account, request_number number, const quota_answer& answer);
+    void return_quota(const account_id& account);
+
     // Search.
     void start_search(in_flight_request& request, bool for_second_send, bool from_queue = false);
     void probe_next(in_flight_request& request);
@@ -186,6 +199,8 @@
              std::vector<observe::decision_field> fields);
     [[nodiscard]] duration retry_delay(const in_flight_request& request);
 
+    // The accounts of the configuration in force.
+    account_directory accounts;
     bool backends_known = false;
     sliding_window_counter arrivals{rate_window};
     shared_bounds bounds;
--- a/src/azureshore/balance/internal/endings.cpp
+++ b/src/azureshore/balance/internal/endings.cpp
@@ -113,6 +113,9 @@
     this->remove_from_queue(request);
     this->cancel_search(request);
     const auto running = request.running_attempts;
+    if (request.charged_account && request.attempts == 0) {
+        this->return_quota(*request.charged_account);
+    }
     this->requests.erase(request.incoming.number);
     for (const auto attempt : running) {
         const auto found = this->attempts.find(attempt);
@@ -137,6 +140,9 @@
     observe::decision decision{
         event, {{"request", request.incoming.id}, {"route", request.matched_route->name}}};
     decision.fields.push_back({"service", request.service.value});
+    if (request.account) {
+        decision.fields.push_back({"account", request.account->value});
+    }
     decision.fields.push_back({"version", std::to_string(request.configuration->version)});
     decision.fields.push_back(
         {"age_ms", format_decimal(to_milliseconds(this->now() - request.incoming.arrived))});
--- a/src/azureshore/balance/traffic_configuration.cpp
+++ b/src/azureshore/balance/traffic_configuration.cpp
@@ -43,16 +43,4 @@
     return found == this->services.end() ? nullptr : &*found;
 }
 
-const client_account* traffic_configuration::find_account(std::string_view key) const
-{
-    if (key.empty()) {
-        return nullptr;
-    }
-    const auto found =
-        std::find_if(this->accounts.begin(), this->accounts.end(), [&](const client_account& each) {
-            return std::find(each.keys.begin(), each.keys.end(), key) != each.keys.end();
-        });
-    return found == this->accounts.end() ? nullptr : &*found;
-}
-
 } // namespace azureshore::balance
--- a/src/azureshore/balance/traffic_configuration.hpp
+++ b/src/azureshore/balance/traffic_configuration.hpp
@@ -96,9 +96,6 @@
     [[nodiscard]] const route* find_route(std::string_view host, std::string_view path) const;
 
     [[nodiscard]] const service_traits* find_service(const service_id& name) const;
-
-    // Returns the account with this key, or null if there is none.
-    [[nodiscard]] const client_account* find_account(std::string_view key) const;
 };
 
 } // namespace azureshore::balance
--- a/src/azureshore/gateway/backend_pool.cpp
+++ b/src/azureshore/gateway/backend_pool.cpp
@@ -216,8 +216,7 @@
         out.target = request.target;
         out.body = request.body;
         for (auto& each : net::end_to_end(request.fields)) {
-            if (!net::same_name(each.name, this->words.deadline_ms) &&
-                !net::same_name(each.name, this->words.expected_instance)) {
+            if (this->is_forwarded(order, each.name)) {
                 out.fields.push_back(std::move(each));
             }
         }
@@ -225,9 +224,24 @@
         out.fields.push_back(
             {this->words.deadline_ms, std::to_string(std::max<std::int64_t>(left.count(), 1))});
         out.fields.push_back({this->words.expected_instance, order.backend.value});
+        if (order.account && !this->words.account.empty()) {
+            out.fields.push_back({this->words.account, order.account->value});
+        }
         return out;
     }
 
+    // Whether a caller's field is passed on to the backend server. Fields that the gateway sets
+    // itself are not, nor is the key of the caller's account.
+    bool is_forwarded(const balance::attempt_order& order, std::string_view name) const
+    {
+        if (net::same_name(name, this->words.deadline_ms) ||
+            net::same_name(name, this->words.expected_instance)) {
+            return false;
+        }
+        return !order.has_accounts || (!net::same_name(name, this->words.account_key) &&
+                                       !net::same_name(name, this->words.account));
+    }
+
     std::optional<balance::probe_result> read_probe(const balance::probe_order& order,
                                                     const detail::exchange_result& result) const
     {
--- a/src/azureshore/gateway/dialect.hpp
+++ b/src/azureshore/gateway/dialect.hpp
@@ -29,6 +29,10 @@
     // In a health answer: milliseconds for which the backend server stays cold.
     std::string cold_ms;
     std::function<std::optional<balance::load_report>(std::string_view)> read_load;
+    // The key by which a caller shows its client account; empty if there is no such field.
+    std::string account_key;
+    // Names the client account of a request to a backend server; empty if there is no such field.
+    std::string account;
 };
 
 } // namespace azureshore::gateway
--- a/src/azureshore/gateway/gateway.cpp
+++ b/src/azureshore/gateway/gateway.cpp
@@ -45,6 +45,20 @@
                           (request.target == "*" && request.method == "OPTIONS"));
 }
 
+// The value of a field, or nothing if it is absent, repeated or has no name: one of several values
+// must not be chosen at will.
+std::string only_value(const http1::request& request, const std::string& name)
+{
+    const auto is_named = [&](const net::field& each) {
+        return net::same_name(each.name, name);
+    };
+    if (name.empty() ||
+        std::count_if(request.fields.begin(), request.fields.end(), is_named) != 1) {
+        return {};
+    }
+    return std::string(net::trimmed(net::find_field(request.fields, name)));
+}
+
 } // namespace
 
 class http_gateway::state {
@@ -175,6 +189,7 @@
         arrived.host = net::find_field(request.fields, "Host");
         arrived.path = request.target.substr(0, request.target.find('?'));
         arrived.fingerprint = fingerprint_of(request);
+        arrived.account_key = only_value(request, this->words.account_key);
         arrived.arrived = steady_now();
         const auto patience =
             net::parse_number(net::find_field(request.fields, this->words.deadline_ms));
--- a/tests/gateway/running_gateway.hpp
+++ b/tests/gateway/running_gateway.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace azureshore::test {
 
@@ -37,6 +38,8 @@
 
     // Puts limits in force for callers to come.
     void configure(const balance::caller_limits& limits);
+    // Puts client accounts in force.
+    void configure(std::vector<balance::client_account> accounts);
     void add_backend(const std::string& name, const test_support::raw_server& at);
 
     // Runs on the gateway's thread and waits for its end.
@@ -45,6 +48,9 @@
     [[nodiscard]] std::uint16_t port() const;
 
 private:
+    void configure(const balance::caller_limits& limits,
+                   std::vector<balance::client_account> accounts);
+
     class state;
     std::unique_ptr<state> inner;
 };
