Run idempotent requests of a connection concurrently

A connection read one request, waited for its answer, and only then parsed the next. The second of two pipelined requests therefore waited for the first one's response time.

The gateway answers the new hook may_run_concurrently from the configuration in force. The time of a request counts from when its last byte was read, also while it waits for its turn.

--- a/src/azureshore/gateway/gateway.cpp
+++ b/src/azureshore/gateway/gateway.cpp
@@ -45,6 +45,11 @@
                           (request.target == "*" && request.method == "OPTIONS"));
 }
 
+std::string path_of(const http1::request& request)
+{
+    return request.target.substr(0, request.target.find('?'));
+}
+
 } // namespace
 
 class http_gateway::state {
@@ -75,6 +80,9 @@
         counters.add("azureshore_second_sends_total", {}, counted.second_sends);
         counters.add("azureshore_probes_total", {}, counted.probes);
         counters.add("azureshore_backend_connections_opened_total", {}, this->pool.opened());
+        const auto pipelines = this->port.pipelines();
+        counters.add("azureshore_pipelined_requests_total", {}, pipelines.begun_early);
+        counters.add("azureshore_cut_off_requests_total", {}, pipelines.cut_off);
         counters.set("azureshore_held_answer_bytes", {},
                      static_cast<double>(this->pool.held_bytes()));
         auto text = counters.to_text() + this->client_errors.to_text();
@@ -134,13 +142,16 @@
     http_port_hooks make_port_hooks()
     {
         http_port_hooks hooks;
-        hooks.request = [this](request_number number, http1::request request) {
-            this->begin(number, std::move(request));
+        hooks.request = [this](request_number number, http1::request request, time_point arrived) {
+            this->begin(number, std::move(request), arrived);
         };
         hooks.gone = [this](request_number number) {
             this->requests.erase(number);
             this->decisions.caller_gone(number);
         };
+        hooks.may_run_concurrently = [this](const http1::request& request) {
+            return this->is_idempotent(request);
+        };
         hooks.rejected = [this](int status, std::string_view cause) {
             this->reject(status, cause, {});
         };
@@ -158,7 +169,24 @@
             });
     }
 
-    void begin(request_number number, http1::request request)
+    // Whether the route of a request, in the configuration in force, says that it may run twice.
+    [[nodiscard]] bool is_idempotent(const http1::request& request) const
+    {
+        const auto in_force = this->decisions.configuration();
+        if (in_force == nullptr) {
+            return false;
+        }
+        http1::request head;
+        head.method = request.method;
+        head.target = request.target;
+        head.fields = request.fields;
+        http1::use_origin_form(head);
+        const auto* matched =
+            in_force->find_route(net::find_field(head.fields, "Host"), path_of(head));
+        return well_formed(head) && matched != nullptr && matched->idempotent;
+    }
+
+    void begin(request_number number, http1::request request, time_point arrived_at)
     {
         http1::use_origin_form(request);
         if (!well_formed(request)) {
@@ -173,9 +201,9 @@
         arrived.number = number;
         arrived.id = net::find_field(request.fields, this->words.request_id);
         arrived.host = net::find_field(request.fields, "Host");
-        arrived.path = request.target.substr(0, request.target.find('?'));
+        arrived.path = path_of(request);
         arrived.fingerprint = fingerprint_of(request);
-        arrived.arrived = steady_now();
+        arrived.arrived = arrived_at;
         const auto patience =
             net::parse_number(net::find_field(request.fields, this->words.deadline_ms));
         if (patience) {
--- a/src/azureshore/gateway/http_port.cpp
+++ b/src/azureshore/gateway/http_port.cpp
@@ -55,7 +55,7 @@
         if (const auto found = this->waiting.find(request); found != this->waiting.end()) {
             const auto to = found->second;
             this->waiting.erase(found);
-            to->answer(std::move(answer));
+            to->answer(request, std::move(answer));
         }
     }
 
@@ -87,9 +87,9 @@
         return number;
     }
 
-    void handle(request_number number, http1::request request) override
+    void handle(request_number number, http1::request request, time_point arrived) override
     {
-        this->hooks.request(number, std::move(request));
+        this->hooks.request(number, std::move(request), arrived);
     }
 
     void caller_left(request_number number) override
@@ -99,6 +99,15 @@
         }
     }
 
+    [[nodiscard]] bool may_run_concurrently(const http1::request& request) const override
+    {
+        return this->hooks.may_run_concurrently && this->hooks.may_run_concurrently(request);
+    }
+
+    void begun_early() override { ++this->pipelines.begun_early; }
+
+    void cut_off(std::size_t requests) override { this->pipelines.cut_off += requests; }
+
     void rejected(int status, std::string_view cause) override
     {
         if (this->hooks.rejected) {
@@ -124,7 +133,7 @@
     {
         std::size_t busy = 0;
         for (const auto& each : this->connections) {
-            busy += each->idle() ? 0 : 1;
+            busy += each->in_flight();
         }
         return busy;
     }
@@ -133,6 +142,7 @@
     asio::steady_timer pause;
     http_port_hooks hooks;
     balance::caller_limits current_limits;
+    pipeline_counts pipelines;
     bool has_limits = false;
     bool keeping = true;
     bool stopped = false;
@@ -196,4 +206,9 @@
     return this->inner->in_flight();
 }
 
+pipeline_counts http_port::pipelines() const
+{
+    return this->inner->pipelines;
+}
+
 } // namespace azureshore::gateway
