Keep the quotas of client accounts by two owners and expiring tokens

Nothing limited how many requests of an account all gateways together pass on. Each account's quota is now kept by the first two gateways in its rendezvous order, each with half of the rate and burst in a bucket that starts empty. Gateways ask them for tokens by datagram; a token expires 200 ms after it was asked for, by the asking gateway's clock. A gateway has one ask in flight per account, refuses by itself until the time that the owner named, and turns to the other owner if one doesn't answer. dispatcher::set_quota_source sets the hook that asks for quota; quota_answer has the time until which a granted request must be sent. New settings: bounds.quota_window, quota_overshoot, quota_slack.

--- a/src/azureshore/balance/dispatch_types.hpp
+++ b/src/azureshore/balance/dispatch_types.hpp
@@ -134,6 +134,9 @@
     quota_decision decision = quota_decision::unavailable;
     // The time after which a further request has a chance, unless it was granted.
     std::optional<duration> retry_after;
+    // Until when a request that was granted must be sent; after that the quota must be asked again.
+    // Empty if the account has no limit.
+    std::optional<time_point> valid_until;
 };
 
 struct dispatcher_hooks {
--- a/src/azureshore/balance/dispatcher.cpp
+++ b/src/azureshore/balance/dispatcher.cpp
@@ -87,6 +87,12 @@
     this->inner->total_rate = std::move(total);
 }
 
+void dispatcher::set_quota_source(
+    std::function<void(const account_id&, std::function<void(const quota_answer&)>)> take)
+{
+    this->inner->hooks.take_quota = std::move(take);
+}
+
 void dispatcher::set_configuration_check(std::function<bool()> is_latest)
 {
     this->inner->is_latest_configuration = std::move(is_latest);
--- a/src/azureshore/daemon/gateway_daemon.cpp
+++ b/src/azureshore/daemon/gateway_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "azureshore/balance/backend_registry.hpp"
 #include "azureshore/daemon/exit_status.hpp"
+#include "azureshore/daemon/internal/account_quotas.hpp"
 #include "azureshore/daemon/internal/address_wait.hpp"
 #include "azureshore/daemon/internal/gateway_store.hpp"
 #include "azureshore/daemon/start_signals.hpp"
@@ -93,6 +94,7 @@
                   this->log.write(steady_now(), observe::event_kind::request, made);
               },
               [this](std::uint64_t fingerprint) { this->store.tell_suspicion(fingerprint); }),
+          quotas(this->executor, from, this->make_quota_hooks()),
           store(this->executor, from, this->platform, this->make_store_hooks()),
           ready_port(this->executor, from.ready, this->make_ready_hooks())
     {
@@ -114,6 +116,11 @@
         this->share_bounds();
         this->gateway.decisions().set_configuration_check(
             [this] { return this->store.is_latest_configuration(); });
+        this->gateway.decisions().set_quota_source(
+            [this](const account_id& account,
+                   std::function<void(const balance::quota_answer&)> done) {
+                this->quotas.keeper().take(account, std::move(done));
+            });
         this->store.start();
         this->executor.run();
         this->log.flush();
@@ -137,7 +144,11 @@
         detail::gateway_store_hooks hooks;
         hooks.configured = [this](std::shared_ptr<const balance::traffic_configuration> next) {
             const auto number = next->version;
+            const auto now_in_force = next;
             const bool taken = this->gateway.configure(std::move(next));
+            if (taken) {
+                this->quotas.configure(*now_in_force);
+            }
             this->write({taken ? "configuration_in_force" : "configuration_outdated",
                          {{"version", std::to_string(number)}}});
         };
@@ -153,7 +164,11 @@
         hooks.backends_listed = [this] {
             this->gateway.decisions().backends_listed();
         };
+        hooks.received = [this](const wire::envelope& message) {
+            this->quotas.keeper().receive(message);
+        };
         hooks.members_changed = [this](const sharing::members& known) {
+            this->quotas.members_changed(known);
             this->gateway.decisions().set_fleet(
                 known.serving_count(),
                 [&known](const backend_id& id) { return known.share_of(id.value, cold_sharers); });
@@ -172,6 +187,14 @@
         return hooks;
     }
 
+    detail::account_quota_hooks make_quota_hooks()
+    {
+        return {[this](const vm_id& to, const wire::message& body) { this->store.send(to, body); },
+                [this](const observe::decision& event) {
+                    this->write(event);
+                }};
+    }
+
     gateway::http_port_hooks make_ready_hooks()
     {
         gateway::http_port_hooks hooks;
@@ -191,7 +214,7 @@
         hooks.request = [this](request_number number, const http1::request&) {
             http1::response answer;
             answer.fields.push_back({"Content-Type", "text/plain; version=0.0.4"});
-            answer.body = this->gateway.metrics() + this->store.metrics();
+            answer.body = this->gateway.metrics() + this->store.metrics() + this->quotas.metrics();
             this->metrics_port->answer(number, std::move(answer));
         };
         return hooks;
@@ -284,6 +307,7 @@
         }
         this->settings = std::get<settings::gateway_settings>(loaded);
         this->gateway.decisions().set_bounds(this->make_settings().bounds);
+        this->quotas.set_bounds(this->settings);
         this->write({"reload", {{"why", why}, {"file", this->settings_file}}});
     }
 
@@ -340,6 +364,7 @@
     bool stopping = false;
     balance::planned_stop stop_plan;
     gateway::http_gateway gateway;
+    detail::account_quotas quotas;
     detail::gateway_store store;
     gateway::http_port ready_port;
     std::optional<gateway::http_port> metrics_port;
--- a/src/azureshore/daemon/internal/gateway_store.cpp
+++ b/src/azureshore/daemon/internal/gateway_store.cpp
@@ -87,6 +87,13 @@
     this->sharing.broadcast_crash_suspicion(fingerprint);
 }
 
+void gateway_store::send(const vm_id& to, const wire::message& body)
+{
+    if (const auto recipient = this->sharing.known_members().last_entry(to)) {
+        this->socket.send(recipient->where, to_datagram(wire::encode({this->self, body})));
+    }
+}
+
 double gateway_store::total_request_rate() const
 {
     return this->sharing.total_request_rate();
@@ -191,6 +198,11 @@
             {"message_unreadable", {{"why", std::string(envelope.status().message())}}});
         return;
     }
+    if (std::holds_alternative<wire::quota_query>(envelope->body) ||
+        std::holds_alternative<wire::quota_reply>(envelope->body)) {
+        this->hooks.received(*envelope);
+        return;
+    }
     this->sharing.receive(*envelope);
 }
 
--- a/src/azureshore/daemon/internal/gateway_store.hpp
+++ b/src/azureshore/daemon/internal/gateway_store.hpp
@@ -25,6 +25,8 @@
     std::function<void(const sharing::members&)> members_changed;
     std::function<void(std::uint64_t fingerprint)> suspected;
     std::function<double()> request_rate;
+    // Called with each message of another daemon that is not about the store.
+    std::function<void(const wire::envelope&)> received;
     std::function<void(const observe::decision&)> log;
 };
 
@@ -42,6 +44,9 @@
 
     void tell_suspicion(std::uint64_t fingerprint);
 
+    // Sends a message to another daemon, unless it is not known. The message may be lost.
+    void send(const vm_id& to, const wire::message& body);
+
     // Requests a second that all daemons get together; zero if unknown.
     [[nodiscard]] double total_request_rate() const;
 
--- a/src/azureshore/settings/gateway_settings.hpp
+++ b/src/azureshore/settings/gateway_settings.hpp
@@ -46,6 +46,12 @@
     // Health checks a second that one backend server gets from all daemons, on average.
     double probes_per_second = 60;
 
+    // In any window of this length, all daemons together pass on at most (rate x window + burst) x
+    // (1 + overshoot) + slack requests of a client account.
+    duration quota_window = std::chrono::seconds(5);
+    double quota_overshoot = 0.1;
+    double quota_slack = 20;
+
     std::size_t log_lines_per_second = 100;
 };
 
--- a/src/azureshore/sharing/members.cpp
+++ b/src/azureshore/sharing/members.cpp
@@ -168,6 +168,33 @@
     return found->second;
 }
 
+std::vector<vm_id> members::first_of(const std::string& task, std::size_t count) const
+{
+    const auto& by_rank = this->orders().by_rank;
+    std::vector<std::pair<std::uint64_t, std::size_t>> weighted;
+    weighted.reserve(by_rank.size());
+    for (std::size_t place = 0; place < by_rank.size(); ++place) {
+        weighted.emplace_back(rank_weight(task, by_rank[place].second), place);
+    }
+    const auto wanted = std::min(count, weighted.size());
+    std::partial_sort(weighted.begin(), weighted.begin() + static_cast<std::ptrdiff_t>(wanted),
+                      weighted.end());
+    std::vector<vm_id> first;
+    for (std::size_t i = 0; i < wanted; ++i) {
+        first.push_back(by_rank[weighted[i].second].second);
+    }
+    return first;
+}
+
+std::size_t members::remembered_count() const
+{
+    const auto left = std::count_if(this->known.begin(), this->known.end(), [](const auto& each) {
+        return each.second.entry.state == wire::member_state::leaving;
+    });
+    const bool self_leaving = this->own_entry.state == wire::member_state::leaving;
+    return this->known.size() - static_cast<std::size_t>(left) + (self_leaving ? 0 : 1);
+}
+
 std::vector<wire::member_entry> members::others() const
 {
     std::vector<wire::member_entry> entries;
--- a/src/azureshore/wire/internal/fields.hpp
+++ b/src/azureshore/wire/internal/fields.hpp
@@ -87,6 +87,10 @@
 AZURESHORE_FIELDS(topic_update, m.topic, m.from, m.next, m.age, m.records);
 AZURESHORE_FIELDS(pull_redirect, m.targets, m.redirects, m.member_count);
 AZURESHORE_FIELDS(crash_suspicion, m.fingerprint, m.broadcast_id);
+AZURESHORE_FIELDS(quota_ask, m.account, m.ticket, m.needed, m.expected);
+AZURESHORE_FIELDS(quota_query, m.asks);
+AZURESHORE_FIELDS(quota_grant, m.account, m.ticket, m.granted, m.retry_after, m.owned);
+AZURESHORE_FIELDS(quota_reply, m.grants);
 
 #undef AZURESHORE_FIELDS
 
--- a/tests/wire/message_tests.cpp
+++ b/tests/wire/message_tests.cpp
@@ -105,7 +105,9 @@
                          {1, 7},
                          std::chrono::milliseconds(3),
                          {{5, "plate-1", std::nullopt}, {6, "plate-2", "ready"}}},
-            pull_redirect{{leaving_member}, 3, 12}};
+            pull_redirect{{leaving_member}, 3, 12},
+            quota_query{{{{"harbour"}, 7, 1, 2}}},
+            quota_reply{{{{"harbour"}, 7, 1, std::chrono::milliseconds(20), true}}}};
 }
 
 std::string bytes_of_any_length(const random_source& random, std::size_t limit)
@@ -197,7 +199,8 @@
         "configuration_state", "configuration_notice",  "topic_news",
         "member_hello",        "member_changes",        "crash_suspicion",
         "topic_snapshot",      "member_digests",        "topics_pull",
-        "topic_update",        "pull_redirect"};
+        "topic_update",        "pull_redirect",         "quota_query",
+        "quota_reply"};
     for (const auto& body : one_of_each()) {
         BOOST_TEST_CONTEXT(name_of(body))
         {
