Answer the dispatcher's questions for quota by the quota keeper

A request that was granted and is not sent gives back what it took, with the time of the grant. A grant belongs to the request's admission: the bound counts requests by the time at which callers send them, so a request that waits needs no second grant.

--- a/src/azureshore/balance/dispatch_types.hpp
+++ b/src/azureshore/balance/dispatch_types.hpp
@@ -144,8 +144,7 @@
     quota_decision decision = quota_decision::unavailable;
     // The time after which a further request has a chance, unless it was granted.
     std::optional<duration> retry_after;
-    // Until when a request that was granted must be sent; after that the quota must be asked again.
-    // Empty if the account has no limit.
+    // When the grant lapses if it is not used. Empty if the account has no limit.
     std::optional<time_point> valid_until;
 };
 
@@ -164,8 +163,9 @@
     // Asks for one request of an account's quota. The answer may come at once or later, and must
     // come within a fraction of a second. Empty if there are no quotas.
     std::function<void(const account_id&, std::function<void(const quota_answer&)>)> take_quota;
-    // Gives back a granted request that was not sent to any backend server. May be empty.
-    std::function<void(const account_id&)> return_quota;
+    // Gives back what was granted at a time for a request that was not sent to any backend server.
+    // May be empty.
+    std::function<void(const account_id&, time_point granted_at)> return_quota;
     random_source random;
     // Called with each decision, for the decision log. May be empty.
     observe::decision_hook decided;
--- a/src/azureshore/balance/dispatcher.cpp
+++ b/src/azureshore/balance/dispatcher.cpp
@@ -96,9 +96,11 @@
 }
 
 void dispatcher::set_quota_source(
-    std::function<void(const account_id&, std::function<void(const quota_answer&)>)> take)
+    std::function<void(const account_id&, std::function<void(const quota_answer&)>)> take,
+    std::function<void(const account_id&, time_point granted_at)> give_back)
 {
     this->inner->hooks.take_quota = std::move(take);
+    this->inner->hooks.return_quota = std::move(give_back);
 }
 
 void dispatcher::set_configuration_check(std::function<bool()> is_latest)
--- a/src/azureshore/balance/dispatcher.hpp
+++ b/src/azureshore/balance/dispatcher.hpp
@@ -58,10 +58,11 @@
     // unknown.
     void set_total_rate_source(std::function<double()> total);
 
-    // Sets the function that asks for one request of an account's quota; see
-    // dispatcher_hooks::take_quota.
+    // Sets the functions that ask for one request of an account's quota and that give it back; see
+    // dispatcher_hooks.
     void set_quota_source(
-        std::function<void(const account_id&, std::function<void(const quota_answer&)>)> take);
+        std::function<void(const account_id&, std::function<void(const quota_answer&)>)> take,
+        std::function<void(const account_id&, time_point granted_at)> give_back);
 
     // Sets the function that returns whether the configuration is known to be the latest. If it may
     // not be, a request without a route is told to come back instead of that there is none. Without
--- a/src/azureshore/balance/internal/authorization.cpp
+++ b/src/azureshore/balance/internal/authorization.cpp
@@ -70,12 +70,13 @@
     auto* request = this->find_request(number);
     if (request == nullptr) {
         if (granted) {
-            this->return_quota(account);
+            this->return_quota(account, this->now());
         }
         return;
     }
     if (granted) {
         request->charged_account = account;
+        request->charged_at = this->now();
         this->start(*request);
         return;
     }
@@ -88,10 +89,10 @@
                             answer.retry_after.value_or(short_retry_delay)});
 }
 
-void dispatcher::state::return_quota(const account_id& account)
+void dispatcher::state::return_quota(const account_id& account, time_point granted_at)
 {
     if (this->hooks.return_quota) {
-        this->hooks.return_quota(account);
+        this->hooks.return_quota(account, granted_at);
     }
 }
 
--- a/src/azureshore/balance/internal/dispatcher_state.hpp
+++ b/src/azureshore/balance/internal/dispatcher_state.hpp
@@ -60,8 +60,9 @@
     service_id service;
     // The client account, if the request has one.
     std::optional<account_id> account;
-    // The account whose quota the request has taken from.
+    // The account whose quota the request has taken from, and when.
     std::optional<account_id> charged_account;
+    time_point charged_at;
     // That of the account, or else that of the route. Zero is the most urgent.
     std::uint32_t priority = 0;
     // The timeout of the route or of the caller, whichever is first.
@@ -153,7 +154,7 @@
     [[nodiscard]] refusal refusal_of_key() const;
     void request_quota(in_flight_request& request);
     void handle_quota(const account_id& account, request_number number, const quota_answer& answer);
-    void return_quota(const account_id& account);
+    void return_quota(const account_id& account, time_point granted_at);
 
     // Search.
     void start_search(in_flight_request& request, bool for_second_send, bool from_queue = false);
--- a/src/azureshore/balance/internal/endings.cpp
+++ b/src/azureshore/balance/internal/endings.cpp
@@ -114,7 +114,7 @@
     this->cancel_search(request);
     const auto running = request.running_attempts;
     if (request.charged_account && request.attempts == 0) {
-        this->return_quota(*request.charged_account);
+        this->return_quota(*request.charged_account, request.charged_at);
     }
     this->requests.erase(request.incoming.number);
     for (const auto attempt : running) {
--- a/src/azureshore/daemon/gateway_daemon.cpp
+++ b/src/azureshore/daemon/gateway_daemon.cpp
@@ -120,6 +120,9 @@
             [this](const account_id& account,
                    std::function<void(const balance::quota_answer&)> done) {
                 this->quotas.keeper().take(account, std::move(done));
+            },
+            [this](const account_id& account, time_point granted_at) {
+                this->quotas.keeper().give_back(account, granted_at);
             });
         this->store.start();
         this->executor.run();
@@ -198,7 +201,7 @@
     gateway::http_port_hooks make_ready_hooks()
     {
         gateway::http_port_hooks hooks;
-        hooks.request = [this](request_number number, const http1::request& request) {
+        hooks.request = [this](request_number number, const http1::request& request, time_point) {
             http1::response answer;
             answer.status = request.target != this->platform.readiness_path ? status_not_found
                             : this->ready()                                 ? status_ok
@@ -211,7 +214,7 @@
     gateway::http_port_hooks make_metrics_hooks()
     {
         gateway::http_port_hooks hooks;
-        hooks.request = [this](request_number number, const http1::request&) {
+        hooks.request = [this](request_number number, const http1::request&, time_point) {
             http1::response answer;
             answer.fields.push_back({"Content-Type", "text/plain; version=0.0.4"});
             answer.body = this->gateway.metrics() + this->store.metrics() + this->quotas.metrics();
--- a/tests/balance/authorization_tests.cpp
+++ b/tests/balance/authorization_tests.cpp
@@ -96,7 +96,7 @@
             this->charged.push_back(name.value);
             this->clock.after(round_trip, [this, done = std::move(done)] { done(this->quota); });
         };
-        made.return_quota = [this](const account_id& name) {
+        made.return_quota = [this](const account_id& name, time_point) {
             this->returned.push_back(name.value);
         };
         return made;
@@ -121,7 +121,7 @@
     }
 
     fakes::virtual_clock clock;
-    quota_answer quota{quota_decision::granted, std::nullopt};
+    quota_answer quota{quota_decision::granted, std::nullopt, std::nullopt};
     std::size_t running = 0;
     std::vector<attempt_order> sent;
     std::map<std::uint64_t, refusal> refused;
@@ -228,7 +228,7 @@
     BOOST_TEST(of.sent.size() == 2U);
     BOOST_TEST((of.charged == std::vector<std::string>{"a"}));
 
-    of.quota = {quota_decision::unavailable, std::nullopt};
+    of.quota = {quota_decision::unavailable, std::nullopt, std::nullopt};
     const auto unknown = of.request("/plates/1", "k1");
     of.clock.run_for(10ms);
     BOOST_TEST(of.sent.size() == 2U);
@@ -256,7 +256,7 @@
 {
     one_dispatcher of;
     of.configure(with_accounts(1, {account("a", {"k1"}, 5)}));
-    of.quota = {quota_decision::exceeded, 700ms};
+    of.quota = {quota_decision::exceeded, 700ms, std::nullopt};
     const auto number = of.request("/plates/1", "k1");
     of.clock.run_for(10ms);
     BOOST_TEST(of.refused.at(number).status == 429);
