--- a/src/azureshore/balance/dispatch_types.hpp
+++ b/src/azureshore/balance/dispatch_types.hpp
@@ -130,6 +130,8 @@
     std::optional<duration> queue_time;
     // From the send to the backend server's answer, if that answer was delivered.
     std::optional<duration> backend_time;
+    // The client account, if the request has one.
+    std::optional<account_id> account;
 };
 
 // Whether a request lies within the quota of its client account.
--- a/src/azureshore/balance/internal/endings.cpp
+++ b/src/azureshore/balance/internal/endings.cpp
@@ -87,7 +87,7 @@
     if (this->hooks.completed) {
         this->hooks.completed({request.service, request.matched_route->idempotent, outcome,
                                this->now() - request.incoming.arrived, request.queue_time,
-                               backend_time});
+                               backend_time, request.account});
     }
 }
 
--- a/src/azureshore/gateway/gateway.cpp
+++ b/src/azureshore/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "azureshore/core/hash.hpp"
 #include "azureshore/gateway/backend_pool.hpp"
 #include "azureshore/gateway/http_port.hpp"
+#include "azureshore/gateway/internal/account_counters.hpp"
 #include "azureshore/gateway/internal/request_times.hpp"
 #include "azureshore/observe/metrics.hpp"
 
@@ -101,6 +102,7 @@
                      static_cast<double>(this->pool.held_bytes()));
         auto text = counters.to_text() + this->client_errors.to_text();
         this->times.write(text);
+        this->accounts.write(text);
         return text;
     }
 
@@ -110,6 +112,7 @@
     observe::decision_hook log;
     balance::dispatcher decisions;
     http_port port;
+    detail::account_counters accounts;
 
 private:
     struct stored_request {
@@ -149,6 +152,7 @@
         hooks.suspected = std::move(suspected);
         hooks.completed = [this](const balance::completed_request& request) {
             this->times.ended(request);
+            this->accounts.ended(request);
         };
         return hooks;
     }
@@ -329,11 +333,12 @@
 
 bool http_gateway::configure(std::shared_ptr<const balance::traffic_configuration> next)
 {
-    const auto limits = next->limits;
+    const auto in_force = next;
     if (!this->inner->decisions.configure(std::move(next))) {
         return false;
     }
-    this->inner->port.set_limits(limits);
+    this->inner->port.set_limits(in_force->limits);
+    this->inner->accounts.configure(in_force->accounts);
     return true;
 }
 
--- a/src/azureshorectl/commands/command.cpp
+++ b/src/azureshorectl/commands/command.cpp
@@ -8,7 +8,7 @@
         make_config_check(),   make_config_diff(),    make_config_apply(), make_config_get(),
         make_config_explain(), make_config_history(), make_config_watch(), make_data_centre_out(),
         make_data_centre_in(), make_vm_out(),         make_vm_in(),        make_status(),
-        make_explain(),
+        make_explain(),        make_accounts(),
     };
     return all;
 }
--- a/src/azureshorectl/commands/command.hpp
+++ b/src/azureshorectl/commands/command.hpp
@@ -38,6 +38,7 @@
 command make_vm_in();
 command make_status();
 command make_explain();
+command make_accounts();
 
 // Every command, in the order of the help.
 const std::vector<command>& commands();
