Refuse and delay what is worth least under a shortage of capacity

Cause: gateways ordered their queues by target and priority alone, took every request, used the last slots at which servers slow down, and started requests that could not end in time.

Change: overload_policy decides the order of the queue, refuses on arrival what is worth less while more valuable requests wait, refuses what has no chance to be started in time, spares the last slots where their use was measured to cost capacity, and takes a second send or a start that cannot end in time only without a shortage. A finished attempt that reports room serves the queue at once. Gateways that find a cold server during a shortage spread their first requests to it.

--- a/src/azureshore/balance/cold_rate_limiter.hpp
+++ b/src/azureshore/balance/cold_rate_limiter.hpp
@@ -21,6 +21,16 @@
         return true;
     }
 
+    // Delays the first request by a share of the interval between requests.
+    void delay_first(time_point now, double per_second, double share)
+    {
+        if (!this->used && per_second > 0) {
+            const std::chrono::duration<double> saved((1 - share) / per_second);
+            this->last_acquired = now - std::chrono::duration_cast<duration>(saved);
+            this->used = true;
+        }
+    }
+
     [[nodiscard]] bool can_acquire(time_point now, double per_second) const
     {
         if (per_second <= 0) {
--- a/src/azureshore/balance/dispatcher.hpp
+++ b/src/azureshore/balance/dispatcher.hpp
@@ -15,6 +15,11 @@
     std::uint64_t second_sends = 0;
     std::uint64_t answered = 0;
     std::uint64_t refused = 0;
+    // Requests refused for lack of capacity: before they waited, while they waited because others
+    // were worth more, and after they had waited as long as they could.
+    std::uint64_t refused_on_arrival = 0;
+    std::uint64_t displaced = 0;
+    std::uint64_t waited_in_vain = 0;
 };
 
 // Decides which backend server gets each request, when a request is sent again, and how it ends.
--- a/src/azureshore/balance/internal/admission.cpp
+++ b/src/azureshore/balance/internal/admission.cpp
@@ -150,7 +150,10 @@
     request.service = this->service_selector.next(*matched, this->hooks.random);
     const auto caller_timeout = incoming.caller_timeout.value_or(default_caller_timeout);
     request.deadline = incoming.arrived + std::min(matched->timeout, caller_timeout);
-    this->service(request.service).retries.add_request(this->now());
+    auto& target = this->service(request.service);
+    target.retries.add_request(this->now());
+    request.kind = target.overload.arrived(this->now(), matched->name, request.priority,
+                                           this->response_time_of(request).expected(1));
     const auto expires_at =
         request.deadline + (caller_timeout < matched->timeout ? caller_deadline_grace : duration{});
     this->hooks.after(expires_at - this->now(),
@@ -159,14 +162,12 @@
         this->refuse(request, this->refusal_while_stopping());
         return;
     }
+    if (!target.overload.admits(this->now(), request.kind)) {
+        this->refuse_overloaded(request, this->counts.refused_on_arrival, target.queue.size());
+        return;
+    }
     // Queued requests go first, unless this one has precedence.
-    const auto& queue = this->service(request.service).queue;
-    const auto now = this->now();
-    const bool queued_request_goes_first =
-        std::any_of(queue.begin(), queue.end(), [&](request_number each) {
-            return this->has_precedence(now, *this->find_request(each), request);
-        });
-    if (queued_request_goes_first) {
+    if (!target.queue.empty() && this->count_ahead(request) > 0) {
         this->enqueue_or_refuse(request);
         return;
     }
--- a/src/azureshore/balance/internal/attempts.cpp
+++ b/src/azureshore/balance/internal/attempts.cpp
@@ -19,7 +19,8 @@
 
 } // namespace
 
-void dispatcher::state::send(in_flight_request& request, const backend_choice& choice)
+void dispatcher::state::send(in_flight_request& request, const backend_choice& choice,
+                             bool from_queue)
 {
     const auto now = this->now();
     auto* backend = this->backends.find(choice.backend);
@@ -53,19 +54,32 @@
         ++this->counts.second_sends;
         this->service(request.service).retries.add_retry(now);
     }
+    else {
+        auto& target = this->service(request.service);
+        target.overload.started(now, request.kind, from_queue);
+        target.overload.add_wait(now, this->waiting_view(request),
+                                 now - request.queued_at.value_or(now));
+        target.overload.set_waiting(now, !target.queue.empty());
+    }
     ++backend->in_flight;
     if (!request.queue_time) {
         request.queue_time = now - request.incoming.arrived;
     }
     request.running_attempts.insert(attempt);
     request.tried_backends.insert(choice.backend);
-    this->attempts[attempt] = {request.incoming.number, choice.backend, now, choice.cost};
+    this->attempts[attempt] = {request.incoming.number, choice.backend, now, choice.cost,
+                               choice.crowded};
     this->log("send", request,
               {{"attempt", std::to_string(attempt.value)},
                {"backend", choice.backend.value},
                {"cost", format_decimal(choice.cost)},
                {"asked", std::to_string(choice.probed_count)},
-               {"own_in_flight", std::to_string(backend->in_flight - 1)}});
+               {"own_in_flight", std::to_string(backend->in_flight - 1)},
+               {"waiting", std::to_string(this->service(request.service).queue.size())},
+               {"worth_rate",
+                format_decimal(overload_policy::worth_rate(now, this->waiting_view(request)))},
+               {"crowded", choice.crowded ? "true" : "false"},
+               {"left_ms", format_decimal(to_milliseconds(request.deadline - now))}});
     if (request.matched_route->idempotent &&
         request.attempts < request.matched_route->max_attempts) {
         const auto delay = std::max<duration>(
@@ -102,6 +116,12 @@
     const auto now = this->now();
     const auto& first = this->attempts.at(attempt);
     auto& estimate = this->response_time_of(*request);
+    if (!this->service(request->service).queue.empty()) {
+        // Requests that wait need the room more than this one a second attempt.
+        const auto delay = std::max<duration>(estimate.expected(0.5), min_second_send_delay);
+        this->start_second_send_timer(*request, attempt, delay, final_check);
+        return;
+    }
     const bool can_meet_target = now + estimate.expected(1.3) <
                                  request->incoming.arrived + request->matched_route->target_latency;
     if (!final_check && !can_meet_target) {
@@ -142,6 +162,10 @@
     if (request == nullptr) {
         return;
     }
+    if (result.load && !this->service(request->service).queue.empty()) {
+        this->hooks.after(duration::zero(),
+                          [this, name = request->service] { this->process_queue(name); });
+    }
     request->running_attempts.erase(attempt);
     this->log("attempt_ended", *request,
               {{"attempt", std::to_string(attempt.value)},
@@ -185,7 +209,12 @@
     const auto response_time = this->now() - ended_attempt.sent_at;
     request.backend_time = response_time;
     if (result.status < first_server_error) {
-        this->response_time_of(request).add_sample(response_time, ended_attempt.cost);
+        auto& estimate = this->response_time_of(request);
+        this->service(request.service)
+            .overload.add_response(std::chrono::duration<double>(response_time) /
+                                       std::chrono::duration<double>(estimate.expected(1)),
+                                   ended_attempt.crowded);
+        estimate.add_sample(response_time, ended_attempt.cost);
         this->crashes.clear(request.incoming.fingerprint);
         this->deliver(request, attempt);
         return;
--- a/src/azureshore/balance/internal/backend_table.cpp
+++ b/src/azureshore/balance/internal/backend_table.cpp
@@ -162,6 +162,16 @@
            backend.cold_limiter.can_acquire(now, this->cold_rate(backend, traits));
 }
 
+void backend_table::spread_cold_sends(time_point now, const service_traits& traits)
+{
+    for (auto& [id, each] : this->backends) {
+        if (each.registered.service == traits.name && now < each.cold_until) {
+            each.cold_limiter.delay_first(now, this->cold_rate(each, traits),
+                                          uniform(this->random));
+        }
+    }
+}
+
 bool backend_table::acquire_cold_send(time_point now, backend_state& backend,
                                       const service_traits& traits) const
 {
--- a/src/azureshore/balance/internal/backend_table.hpp
+++ b/src/azureshore/balance/internal/backend_table.hpp
@@ -58,6 +58,10 @@
     bool can_accept(time_point now, const backend_state& backend,
                     const service_traits& traits) const;
 
+    // Delays the next request to each cold backend server that got none yet by a random part of the
+    // interval of its rate. Under a shortage, all daemons find the same cold server at once.
+    void spread_cold_sends(time_point now, const service_traits& traits);
+
     // Counts a request against the rate of a cold backend server. Returns false if the rate is used
     // up.
     bool acquire_cold_send(time_point now, backend_state& backend,
--- a/src/azureshore/balance/internal/dispatch_constants.hpp
+++ b/src/azureshore/balance/internal/dispatch_constants.hpp
@@ -18,6 +18,9 @@
 // Retry-After time where the missing information or capacity is expected within that time.
 inline constexpr duration short_retry_delay = std::chrono::milliseconds(100);
 
+// Interval at which the queue of a service is processed.
+inline constexpr duration queue_check_interval = std::chrono::milliseconds(12);
+
 // Formats a number with two decimal places, for the log.
 inline std::string format_decimal(double number)
 {
--- a/src/azureshore/balance/internal/dispatcher_state.hpp
+++ b/src/azureshore/balance/internal/dispatcher_state.hpp
@@ -5,6 +5,7 @@
 #include "azureshore/balance/internal/crash_tracker.hpp"
 #include "azureshore/balance/internal/response_time_estimate.hpp"
 #include "azureshore/balance/internal/weighted_round_robin.hpp"
+#include "azureshore/balance/overload_policy.hpp"
 #include "azureshore/balance/probe_token_bucket.hpp"
 #include "azureshore/balance/retry_budget.hpp"
 
@@ -27,6 +28,8 @@
     std::size_t probed_count = 1;
     // Whether another request would have to wait there.
     bool full = false;
+    // Whether the backend server has so few free slots that it slows down.
+    bool crowded = false;
     // When the load behind the choice was received.
     time_point measured_at;
 };
@@ -49,6 +52,7 @@
     backend_id backend;
     time_point sent_at;
     double cost = 1;
+    bool crowded = false;
 };
 
 // A request between its arrival and its final answer.
@@ -61,6 +65,8 @@
     std::optional<account_id> account;
     // That of the account, or else that of the route. Zero is the most urgent.
     std::uint32_t priority = 0;
+    // Its kind in the overload policy of the service.
+    std::size_t kind = 0;
     // The timeout of the route or of the caller, whichever is first.
     time_point deadline;
     std::uint32_t attempts = 0;
@@ -70,6 +76,8 @@
     std::optional<backend_search> search;
     // Whether it is in the service's queue, with no search in progress.
     bool queued = false;
+    // When it first entered the queue.
+    std::optional<time_point> queued_at;
     // An attempt answered with a server error, delivered if no better answer comes.
     std::optional<attempt_number> fallback_attempt;
     std::optional<duration> queue_time;
@@ -124,6 +132,7 @@
         }
         retry_budget retries;
         probe_token_bucket probe_bucket;
+        overload_policy overload;
         std::vector<request_number> queue;
         bool queue_timer_set = false;
     };
@@ -148,6 +157,9 @@
     double probe_rate(const service_id& name);
     void choose_by_reported_load(in_flight_request& request,
                                  const std::vector<detail::backend_state*>& candidates);
+    const detail::backend_state*
+    first_with_reported_room(const in_flight_request& request,
+                             const std::vector<detail::backend_state*>& candidates);
     void release_connection(const backend_choice& choice);
     void evaluate_probe(in_flight_request& request, const pending_probe& sent, probe_number probe,
                         const probe_result& result);
@@ -159,12 +171,15 @@
     void enqueue_or_refuse(in_flight_request& request);
     void start_queue_timer(const service_id& name);
     void process_queue(const service_id& name);
-    [[nodiscard]] bool has_precedence(time_point now, const in_flight_request& left,
-                                      const in_flight_request& right);
+    [[nodiscard]] waiting_request waiting_view(const in_flight_request& request);
+    [[nodiscard]] std::size_t count_ahead(const in_flight_request& request);
+    void refuse_hopeless(const service_id& name);
+    void refuse_overloaded(in_flight_request& request, std::uint64_t& counter, std::size_t ahead);
+    [[nodiscard]] bool has_room(const in_flight_request& request, const backend_choice& choice);
     void remove_from_queue(in_flight_request& request);
 
     // Attempts.
-    void send(in_flight_request& request, const backend_choice& choice);
+    void send(in_flight_request& request, const backend_choice& choice, bool from_queue = false);
     void start_second_send_timer(const in_flight_request& request, attempt_number attempt,
                                  duration delay, bool final_check);
     void consider_second_send(request_number number, attempt_number attempt, bool final_check);
@@ -179,7 +194,8 @@
     void report_completion(const in_flight_request& request, std::string_view outcome,
                            std::optional<duration> backend_time);
     refusal refusal_after_attempts(const in_flight_request& request);
-    void refuse(in_flight_request& request, refusal answer);
+    void refuse(in_flight_request& request, refusal answer,
+                std::vector<observe::decision_field> inputs = {});
     void refuse_unadmitted(const incoming_request& incoming, refusal answer);
     void finish(in_flight_request& request);
     void log(std::string_view event, const in_flight_request& request,
--- a/src/azureshore/balance/internal/endings.cpp
+++ b/src/azureshore/balance/internal/endings.cpp
@@ -2,6 +2,7 @@
 #include "azureshore/balance/internal/dispatcher_state.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace azureshore::balance {
@@ -54,7 +55,8 @@
     return {refusal_cause::attempts_exhausted, status_unavailable, this->retry_delay(request)};
 }
 
-void dispatcher::state::refuse(in_flight_request& request, refusal answer)
+void dispatcher::state::refuse(in_flight_request& request, refusal answer,
+                               std::vector<observe::decision_field> inputs)
 {
     if (request.fallback_attempt) {
         this->deliver(request, *request.fallback_attempt);
@@ -66,15 +68,18 @@
     }
     ++this->counts.refused;
     const auto number = request.incoming.number;
-    this->log(
-        "refuse", request,
-        {{"cause", std::string(to_string(answer.cause))},
-         {"status", std::to_string(answer.status)},
-         {"attempts", std::to_string(request.attempts)},
-         {"may_have_run", request.may_have_run ? "true" : "false"},
-         {"waiting", std::to_string(this->service(request.service).queue.size())},
-         {"usual_ms", format_decimal(to_milliseconds(this->response_time_of(request).expected(1)))},
-         {"left_ms", format_decimal(to_milliseconds(request.deadline - this->now()))}});
+    std::vector<observe::decision_field> fields{
+        {"cause", std::string(to_string(answer.cause))},
+        {"status", std::to_string(answer.status)},
+        {"attempts", std::to_string(request.attempts)},
+        {"may_have_run", request.may_have_run ? "true" : "false"},
+        {"waiting", std::to_string(this->service(request.service).queue.size())},
+        {"usual_ms", format_decimal(to_milliseconds(this->response_time_of(request).expected(1)))},
+        {"left_ms", format_decimal(to_milliseconds(request.deadline - this->now()))},
+        {"priority", std::to_string(request.priority)}};
+    fields.insert(fields.end(), std::make_move_iterator(inputs.begin()),
+                  std::make_move_iterator(inputs.end()));
+    this->log("refuse", request, std::move(fields));
     this->report_completion(request, to_string(answer.cause), std::nullopt);
     this->finish(request);
     this->hooks.refuse(number, answer);
@@ -113,6 +118,9 @@
     this->remove_from_queue(request);
     this->cancel_search(request);
     const auto running = request.running_attempts;
+    if (auto& target = this->service(request.service); target.queue.empty()) {
+        target.overload.set_waiting(this->now(), false);
+    }
     this->requests.erase(request.incoming.number);
     for (const auto attempt : running) {
         const auto found = this->attempts.find(attempt);
--- a/src/azureshore/balance/internal/search.cpp
+++ b/src/azureshore/balance/internal/search.cpp
@@ -1,8 +1,8 @@
+#include "azureshore/balance/internal/dispatch_constants.hpp"
 #include "azureshore/balance/internal/dispatcher_state.hpp"
 
 #include <algorithm>
 #include <array>
-#include <tuple>
 #include <utility>
 
 namespace azureshore::balance {
@@ -20,11 +20,6 @@
 // Older load reports are not used, since backend servers may fill up, slow down or turn cold in
 // that time. Most searches end sooner, unless a probed backend server does not answer.
 constexpr duration max_load_age = std::chrono::milliseconds(25);
-// Interval at which the queue is processed.
-constexpr duration queue_check_interval = std::chrono::milliseconds(12);
-// A request is refused when less than this share of its expected response time is left until its
-// deadline.
-constexpr double min_remaining_share = 0.8;
 // Maximum cost of a backend server for a second send while the first attempt runs.
 constexpr double max_second_send_cost = 1.5;
 constexpr double unlimited_cost = 1e9;
@@ -32,10 +27,22 @@
 constexpr double probe_rate_utilisation = 0.85;
 // Minimum probe rate of a daemon with few requests, as a fraction of an even share.
 constexpr double min_fraction_of_even_share = 0.2;
-// A queued request searches repeatedly, so each search makes only a few probes.
-constexpr std::size_t max_probes_from_queue = 3;
-// Maximum number of queued requests of one service.
-constexpr std::size_t max_queue_length = 512;
+// A queued request searches repeatedly, so each search makes only one probe. More of them would
+// use up the probe rate in the first moments of a wait.
+constexpr std::size_t max_probes_from_queue = 1;
+
+// Returns the choice of a backend server by the load that it reported last.
+backend_choice reported_choice(const detail::backend_state& backend)
+{
+    auto load = *backend.load;
+    load.running = std::max(load.running, backend.in_flight);
+    backend_choice choice;
+    choice.backend = backend.registered.id;
+    choice.cost = detail::load_cost(load);
+    choice.full = load.running + load.waiting >= load.slots;
+    choice.crowded = overload_policy::is_crowded(load);
+    return choice;
+}
 
 } // namespace
 
@@ -57,6 +64,18 @@
     this->probe_next(request);
 }
 
+// Whether a backend server has a free slot that does not slow down the others by more than it adds.
+bool dispatcher::state::has_room(const in_flight_request& request, const backend_choice& choice)
+{
+    if (choice.full || !choice.crowded) {
+        return !choice.full;
+    }
+    const auto* backend = this->backends.find(choice.backend);
+    const auto& policy = this->service(request.service).overload;
+    return backend == nullptr || !policy.crowding_costs_capacity(backend->registered.slots) ||
+           policy.may_crowd(this->now(), this->waiting_view(request));
+}
+
 void dispatcher::state::probe_next(in_flight_request& request)
 {
     auto& search = *request.search;
@@ -67,6 +86,9 @@
         }
         return;
     }
+    if (search.from_queue) {
+        this->backends.spread_cold_sends(this->now(), this->traits(request));
+    }
     auto excluded = search.probed;
     excluded.insert(request.tried_backends.begin(), request.tried_backends.end());
     const auto candidates = this->backends.candidates(this->now(), this->traits(request), excluded);
@@ -79,7 +101,8 @@
         }
         return;
     }
-    const auto& chosen = *candidates.front();
+    const auto& chosen = search.from_queue ? *this->first_with_reported_room(request, candidates)
+                                           : *candidates.front();
     const probe_number probe{++this->last_probe};
     search.probed.insert(chosen.registered.id);
     ++search.pending_probes;
@@ -117,18 +140,28 @@
         if (!each->load || this->now() - each->load_at > max_load_age) {
             continue;
         }
-        auto load = *each->load;
-        load.running = std::max(load.running, each->in_flight);
-        if (load.running + load.waiting < load.slots) {
-            const auto cost = detail::load_cost(load);
-            const auto probed_count = search.probed.size();
-            search.best =
-                backend_choice{each->registered.id, {}, cost, probed_count, false, this->now()};
+        auto candidate = reported_choice(*each);
+        candidate.probed_count = search.probed.size();
+        candidate.measured_at = this->now();
+        if (this->has_room(request, candidate)) {
+            search.best = candidate;
             return;
         }
     }
 }
 
+// Returns the first candidate whose recent load report shows room, else the first of all.
+const detail::backend_state*
+dispatcher::state::first_with_reported_room(const in_flight_request& request,
+                                            const std::vector<detail::backend_state*>& candidates)
+{
+    const auto found = std::find_if(candidates.begin(), candidates.end(), [&](const auto* each) {
+        return each->load && this->now() - each->load_at <= max_load_age &&
+               this->has_room(request, reported_choice(*each));
+    });
+    return found == candidates.end() ? candidates.front() : *found;
+}
+
 void dispatcher::state::release_connection(const backend_choice& choice)
 {
     if (choice.probe) {
@@ -194,6 +227,7 @@
                              detail::load_cost(load),
                              search.probed.size(),
                              load.running + load.waiting >= load.slots,
+                             overload_policy::is_crowded(load),
                              this->now()};
     if (this->now() < backend->cold_until) {
         candidate.cost *= 2;
@@ -208,7 +242,8 @@
         search.best = candidate;
     }
     const auto threshold_index = std::min(search.probed.size(), acceptable_costs.size()) - 1;
-    if (!search.best->full && search.best->cost <= acceptable_costs.at(threshold_index)) {
+    if (this->has_room(request, *search.best) &&
+        search.best->cost <= acceptable_costs.at(threshold_index)) {
         this->finish_search(request);
         return;
     }
@@ -236,16 +271,17 @@
         best.reset();
     }
     if (best && !search->for_second_send) {
-        const bool wait = best->full || this->should_wait(request, best->cost);
-        if (!wait && now + this->response_time_of(request).expected(std::min(best->cost, 2.0) *
-                                                                    min_remaining_share) <
-                         request.deadline) {
+        const bool wait = !this->has_room(request, *best) || this->should_wait(request, best->cost);
+        const bool short_of_room =
+            search->from_queue || !this->service(request.service).queue.empty();
+        const double expected_cost = short_of_room ? best->cost : std::min(best->cost, 2.0);
+        if (!wait && overload_policy::can_end(now, this->waiting_view(request), expected_cost)) {
             if (search->from_queue) {
                 // If a queued request found capacity, the next one may find some too.
                 this->hooks.after(duration::zero(),
                                   [this, name = request.service] { this->process_queue(name); });
             }
-            this->send(request, *best);
+            this->send(request, *best, search->from_queue);
             return;
         }
     }
@@ -274,92 +310,4 @@
     request.search.reset();
 }
 
-void dispatcher::state::enqueue_or_refuse(in_flight_request& request)
-{
-    const auto now = this->now();
-    auto& service_entry = this->service(request.service);
-    if (this->backends.count_in_service(request.service) == 0) {
-        this->refuse(request, {refusal_cause::no_backend, 503, this->retry_delay(request)});
-        return;
-    }
-    if (now + queue_check_interval +
-                this->response_time_of(request).expected(min_remaining_share) >=
-            request.deadline ||
-        service_entry.queue.size() >= max_queue_length) {
-        this->refuse(request, {refusal_cause::overloaded, 503, this->retry_delay(request)});
-        return;
-    }
-    service_entry.queue.push_back(request.incoming.number);
-    request.queued = true;
-    this->start_queue_timer(request.service);
-}
-
-void dispatcher::state::start_queue_timer(const service_id& name)
-{
-    auto& service_entry = this->service(name);
-    if (service_entry.queue_timer_set) {
-        return;
-    }
-    service_entry.queue_timer_set = true;
-    this->hooks.after(queue_check_interval, [this, name] {
-        this->service(name).queue_timer_set = false;
-        this->process_queue(name);
-    });
-}
-
-// Refuses the requests that can no longer be served in time and starts a search for the most urgent
-// one.
-void dispatcher::state::process_queue(const service_id& name)
-{
-    const auto now = this->now();
-    const auto queue = this->service(name).queue;
-    for (const auto each : queue) {
-        auto* request = this->find_request(each);
-        if (request != nullptr &&
-            now + this->response_time_of(*request).expected(min_remaining_share) >=
-                request->deadline) {
-            this->remove_from_queue(*request);
-            this->refuse(*request, {refusal_cause::overloaded, 503, this->retry_delay(*request)});
-        }
-    }
-    auto& service_entry = this->service(name);
-    if (service_entry.queue.empty()) {
-        return;
-    }
-    std::sort(service_entry.queue.begin(), service_entry.queue.end(),
-              [this, now](request_number left, request_number right) {
-                  return this->has_precedence(now, *this->find_request(left),
-                                              *this->find_request(right));
-              });
-    auto& most_urgent = *this->find_request(service_entry.queue.front());
-    this->remove_from_queue(most_urgent);
-    if (!service_entry.queue.empty()) {
-        this->start_queue_timer(name);
-    }
-    this->start_search(most_urgent, !most_urgent.running_attempts.empty(), true);
-}
-
-// Requests that can still meet their target latency go first, since under overload the others would
-// make these late as well. Then the more urgent and then the older request goes first. The order is
-// only consistent between comparisons for the same time.
-bool dispatcher::state::has_precedence(time_point now, const in_flight_request& left,
-                                       const in_flight_request& right)
-{
-    const auto misses_target = [this, now](const in_flight_request& request) {
-        return now + this->response_time_of(request).expected(1.0) >
-               request.incoming.arrived + request.matched_route->target_latency;
-    };
-    return std::make_tuple(misses_target(left), left.priority, left.incoming.arrived) <
-           std::make_tuple(misses_target(right), right.priority, right.incoming.arrived);
-}
-
-void dispatcher::state::remove_from_queue(in_flight_request& request)
-{
-    if (!request.queued) {
-        return;
-    }
-    request.queued = false;
-    std::erase(this->service(request.service).queue, request.incoming.number);
-}
-
 } // namespace azureshore::balance
--- a/src/azureshore/gateway/gateway.cpp
+++ b/src/azureshore/gateway/gateway.cpp
@@ -71,6 +71,12 @@
         counters.add("azureshore_requests_total", {}, counted.requests);
         counters.add("azureshore_answers_total", {}, counted.answered);
         counters.add("azureshore_refusals_total", {}, counted.refused);
+        counters.add("azureshore_shortage_refusals_total", {{"stage", "arrival"}},
+                     counted.refused_on_arrival);
+        counters.add("azureshore_shortage_refusals_total", {{"stage", "displaced"}},
+                     counted.displaced);
+        counters.add("azureshore_shortage_refusals_total", {{"stage", "waited"}},
+                     counted.waited_in_vain);
         counters.add("azureshore_attempts_total", {}, counted.attempts);
         counters.add("azureshore_second_sends_total", {}, counted.second_sends);
         counters.add("azureshore_probes_total", {}, counted.probes);
--- a/tests/balance/dispatch_simulation.cpp
+++ b/tests/balance/dispatch_simulation.cpp
@@ -44,6 +44,17 @@
         return uniform(period_random) < this->traits.slow_share ? slow_factor : 1;
     }
 
+    [[nodiscard]] bool is_full() const
+    {
+        return this->running.size() + this->waiting.size() >=
+               this->traits.slots + this->traits.queue;
+    }
+
+    [[nodiscard]] double crowding() const
+    {
+        return 5 * this->running.size() > 4 * this->traits.slots ? this->traits.crowded_factor : 1;
+    }
+
     [[nodiscard]] load_report load(time_point now) const
     {
         return {this->running.size(), this->waiting.size(), this->traits.slots,
@@ -114,6 +125,11 @@
     request.arrived = this->clock.now();
     request.caller_timeout = caller_timeout;
     this->started_at[key] = this->clock.now();
+    for (const auto& [prefix, work] : this->works) {
+        if (path.starts_with(prefix)) {
+            this->work_of[key] = work;
+        }
+    }
     this->daemons[daemon]->begin(request);
     return key;
 }
@@ -176,16 +192,24 @@
         }
     };
     hooks.deliver = [this](request_number request, attempt_number) {
+        this->outcomes[request.value].request = request;
         ++this->outcomes[request.value].answers;
         this->outcomes[request.value].delivered = true;
         this->outcomes[request.value].took = this->clock.now() - this->started_at[request.value];
+        if (this->answered) {
+            this->answered(this->outcomes[request.value]);
+        }
     };
     hooks.refuse = [this](request_number request, const refusal& answer) {
         auto& result = this->outcomes[request.value];
+        result.request = request;
         ++result.answers;
         result.refused = answer;
         result.status = answer.status;
         result.took = this->clock.now() - this->started_at[request.value];
+        if (this->answered) {
+            this->answered(result);
+        }
     };
     hooks.random = seeded_random(this->random());
     return hooks;
@@ -233,6 +257,13 @@
         this->end_attempt(daemon, order.attempt, result);
         return;
     }
+    if (target.traits.declines_when_full && target.is_full()) {
+        result.end = attempt_end::not_run;
+        result.status = 503;
+        result.load = target.load(this->clock.now());
+        this->end_attempt(daemon, order.attempt, result);
+        return;
+    }
     this->arrivals.back().ran = true;
     const auto created = std::make_shared<execution>();
     created->attempt = {daemon, order.attempt};
@@ -242,8 +273,7 @@
         this->crash(target);
         return;
     }
-    if (target.faults.unresponsive || target.running.size() + target.waiting.size() >=
-                                          target.traits.slots + target.traits.queue) {
+    if (target.faults.unresponsive || target.is_full()) {
         return;
     }
     target.waiting.push_back(created);
@@ -256,9 +286,12 @@
         const auto next = target.waiting.front();
         target.waiting.erase(target.waiting.begin());
         target.running.push_back(next);
+        ++this->runs;
         const double variation = 0.7 + 0.6 * uniform(this->random);
-        const auto work = std::chrono::duration_cast<duration>(target.traits.work * variation *
-                                                               target.slowness(this->clock.now()));
+        const auto own_work = this->work_of.find(next->key);
+        const auto usual = own_work == this->work_of.end() ? target.traits.work : own_work->second;
+        const auto work = std::chrono::duration_cast<duration>(
+            usual * variation * target.slowness(this->clock.now()) * target.crowding());
         this->clock.after(target.faults.errors ? 1ms : work,
                           [this, &target, next] { this->finish(target, next); });
     }
--- a/tests/balance/dispatch_simulation.hpp
+++ b/tests/balance/dispatch_simulation.hpp
@@ -3,6 +3,7 @@
 #include "azureshore/balance/dispatcher.hpp"
 #include "support/virtual_clock.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -20,6 +21,11 @@
     // The share of time in which work takes five times as long, in periods of 150 ms.
     double slow_share = 0;
     data_centre_id data_centre{"khan-el-khalili"};
+    // How much longer a request takes that starts when more than four fifths of the slots are busy,
+    // its own included.
+    double crowded_factor = 1;
+    // Whether requests beyond the queue are declined as not run, instead of never answered.
+    bool declines_when_full = false;
 };
 
 // Faults that a test injects into one server.
@@ -83,6 +89,11 @@
     std::uint64_t request(std::size_t daemon, const std::string& path,
                           std::optional<duration> caller_timeout = std::nullopt,
                           std::uint64_t fingerprint = 0);
+    // Sets the work of the requests whose path starts with a prefix, instead of the servers' work.
+    void set_work(const std::string& path_prefix, duration work)
+    {
+        this->works[path_prefix] = work;
+    }
     void disconnect_caller(std::size_t daemon, std::uint64_t key);
 
     // Schedules requests at random times, spread evenly over the daemons.
@@ -97,6 +108,10 @@
     std::map<std::uint64_t, outcome> outcomes;
     std::vector<arrival> arrivals;
     std::size_t cancelled = 0;
+    // Requests that servers started to run.
+    std::size_t runs = 0;
+    // Called with each final answer. May be empty.
+    std::function<void(const outcome&)> answered;
 
 private:
     struct server;
@@ -115,6 +130,8 @@
 
     std::vector<std::unique_ptr<balance::dispatcher>> daemons;
     std::map<std::string, std::unique_ptr<server>> servers;
+    std::map<std::string, duration> works;
+    std::map<std::uint64_t, duration> work_of;
     std::uint64_t last_request = 0;
     std::map<std::uint64_t, time_point> started_at;
     time_point last_reading{};
