--- a/src/azureshore/balance/internal/admission.cpp
+++ b/src/azureshore/balance/internal/admission.cpp
@@ -168,16 +168,19 @@
     this->request_quota(request);
 }
 
+// Requests beyond their account's quota do not get here, so that they do not count as demand.
 void dispatcher::state::start(in_flight_request& request)
 {
+    auto& target = this->service(request.service);
+    request.kind =
+        target.overload.arrived(this->now(), request.matched_route->name, request.priority,
+                                this->response_time_of(request).expected(1));
+    if (!target.overload.admits(this->now(), request.kind)) {
+        this->refuse_overloaded(request, this->counts.refused_on_arrival, target.queue.size());
+        return;
+    }
     // Queued requests go first, unless this one has precedence.
-    const auto& queue = this->service(request.service).queue;
-    const auto now = this->now();
-    const bool queued_request_goes_first =
-        std::any_of(queue.begin(), queue.end(), [&](request_number each) {
-            return this->has_precedence(now, *this->find_request(each), request);
-        });
-    if (queued_request_goes_first) {
+    if (!target.queue.empty() && this->count_ahead(request) > 0) {
         this->enqueue_or_refuse(request);
         return;
     }
