Recognize returning requests and save probes under a shortage

Cause: a request refused once came back as a new one, and was served late in place of one in time. Searches of requests of which only a part is taken used up the probe rate.

Change: the first attempt of a request is inferred from the time that its caller still waits. Late requests are the first to be refused under a shortage. Requests that give way probe two servers.

--- a/src/azureshore/balance/internal/admission.cpp
+++ b/src/azureshore/balance/internal/admission.cpp
@@ -154,6 +154,8 @@
     target.retries.add_request(this->now());
     request.kind = target.overload.arrived(this->now(), matched->name, request.priority,
                                            this->response_time_of(request).expected(1));
+    request.first_attempt_at =
+        target.overload.first_attempt_at(incoming.arrived, request.kind, caller_timeout);
     const auto expires_at =
         request.deadline + (caller_timeout < matched->timeout ? caller_deadline_grace : duration{});
     this->hooks.after(expires_at - this->now(),
@@ -162,7 +164,7 @@
         this->refuse(request, this->refusal_while_stopping());
         return;
     }
-    if (!target.overload.admits(this->now(), request.kind)) {
+    if (!target.overload.admits(this->now(), this->waiting_view(request))) {
         this->refuse_overloaded(request, this->counts.refused_on_arrival, target.queue.size());
         return;
     }
--- a/src/azureshore/balance/internal/dispatcher_state.hpp
+++ b/src/azureshore/balance/internal/dispatcher_state.hpp
@@ -65,6 +65,8 @@
     std::optional<account_id> account;
     // That of the account, or else that of the route. Zero is the most urgent.
     std::uint32_t priority = 0;
+    // When its caller probably made its first attempt.
+    time_point first_attempt_at;
     // Its kind in the overload policy of the service.
     std::size_t kind = 0;
     // The timeout of the route or of the caller, whichever is first.
--- a/src/azureshore/balance/internal/search.cpp
+++ b/src/azureshore/balance/internal/search.cpp
@@ -30,6 +30,8 @@
 // A queued request searches repeatedly, so each search makes only one probe. More of them would
 // use up the probe rate in the first moments of a wait.
 constexpr std::size_t max_probes_from_queue = 1;
+// Under a shortage, requests of which only a part is taken leave probes to the others.
+constexpr std::size_t max_probes_if_giving_way = 2;
 
 // Returns the choice of a backend server by the load that it reported last.
 backend_choice reported_choice(const detail::backend_state& backend)
@@ -79,8 +81,12 @@
 void dispatcher::state::probe_next(in_flight_request& request)
 {
     auto& search = *request.search;
-    if (search.probed.size() >=
-        (search.from_queue ? max_probes_from_queue : acceptable_costs.size())) {
+    auto& target = this->service(request.service);
+    const bool gives_way = target.overload.taken_share(this->now(), request.kind) < 1;
+    const auto max_probes = search.from_queue ? max_probes_from_queue
+                            : gives_way       ? max_probes_if_giving_way
+                                              : acceptable_costs.size();
+    if (search.probed.size() >= max_probes) {
         if (search.pending_probes == 0) {
             this->finish_search(request);
         }
@@ -93,8 +99,7 @@
     excluded.insert(request.tried_backends.begin(), request.tried_backends.end());
     const auto candidates = this->backends.candidates(this->now(), this->traits(request), excluded);
     if (candidates.empty() ||
-        !this->service(request.service)
-             .probe_bucket.try_take(this->now(), this->probe_rate(request.service))) {
+        !target.probe_bucket.try_take(this->now(), this->probe_rate(request.service))) {
         if (search.pending_probes == 0) {
             this->choose_by_reported_load(request, candidates);
             this->finish_search(request);
--- a/src/azureshore/balance/internal/waiting.cpp
+++ b/src/azureshore/balance/internal/waiting.cpp
@@ -17,7 +17,7 @@
     return {
         request.incoming.number,  request.kind,
         request.priority,         this->response_time_of(request).expected(1),
-        request.incoming.arrived, request.incoming.arrived + request.matched_route->target_latency,
+        request.incoming.arrived, request.first_attempt_at + request.matched_route->target_latency,
         request.deadline};
 }
 
--- a/src/azureshore/balance/overload_policy.cpp
+++ b/src/azureshore/balance/overload_policy.cpp
@@ -34,6 +34,8 @@
 // Arrivals of a kind before its share is compared with others.
 constexpr double min_arrivals = 4;
 // A kind goes first when a less urgent one is served more often by this share.
+// The longest time that callers wait is determined over one to two of these periods.
+constexpr duration timeout_period = std::chrono::seconds(10);
 constexpr double max_share_deficit = 0.03;
 // Time during which requests waited before the rate of the queue counts as known.
 constexpr double min_queue_seconds = 0.5;
@@ -42,6 +44,9 @@
 constexpr double hopeless_factor = 1.5;
 // Share of the expected response time that must be left until the deadline. Response times vary.
 constexpr double min_remaining_share = 0.8;
+// The expected response time is multiplied by this to tell whether the target can be met, since
+// response times vary and backend servers are seldom idle under a shortage.
+constexpr double target_margin = 1.2;
 constexpr duration min_retry_after = std::chrono::milliseconds(50);
 constexpr double crowded_share = 0.8;
 constexpr std::size_t min_crowded_slots = 5;
@@ -54,7 +59,8 @@
 
 bool meets_target(time_point now, const waiting_request& request)
 {
-    return now + request.work <= request.target_at;
+    const auto expected = std::chrono::duration_cast<duration>(request.work * target_margin);
+    return now + expected <= request.target_at;
 }
 
 } // namespace
@@ -120,17 +126,32 @@
     return std::min(counts.level * std::exp(level_recovery * seconds_f(idle).count()), max_level);
 }
 
-bool overload_policy::admits(time_point now, std::size_t kind)
+time_point overload_policy::first_attempt_at(time_point now, std::size_t kind,
+                                             duration caller_timeout)
 {
     auto& counts = this->kinds.at(kind);
-    const double share = this->taken_share(now, kind);
+    if (now - counts.timeout_period_at > timeout_period) {
+        counts.last_longest_timeout = counts.longest_timeout;
+        counts.longest_timeout = duration::zero();
+        counts.timeout_period_at = now;
+    }
+    counts.longest_timeout = std::max(counts.longest_timeout, caller_timeout);
+    const auto longest = std::max(counts.longest_timeout, counts.last_longest_timeout);
+    return caller_timeout * 2 < longest ? now : now - (longest - caller_timeout);
+}
+
+bool overload_policy::admits(time_point now, const waiting_request& request)
+{
+    auto& counts = this->kinds.at(request.kind);
+    const double share = this->taken_share(now, request.kind);
     if (share >= 1) {
         counts.credit = 0;
         return true;
     }
     const double served =
         this->all_started.value(now) / std::max(this->all_arrived.value(now), 1.0);
-    counts.credit += std::max(share, min_served_share * served);
+    const bool late = !meets_target(now, request);
+    counts.credit += std::max(late ? 0 : share, min_served_share * served);
     if (counts.credit < 1) {
         return false;
     }
--- a/src/azureshore/balance/overload_policy.hpp
+++ b/src/azureshore/balance/overload_policy.hpp
@@ -50,8 +50,9 @@
 class overload_policy {
 public:
     // No kind is taken less often than this share of how often all requests together are served,
-    // and one that is served less often goes first.
-    static constexpr double min_served_share = 0.3;
+    // and one that is served less often goes first. With the repeated attempts of callers, each
+    // kind is served at least a quarter as often as all requests together.
+    static constexpr double min_served_share = 0.15;
     // An answer after the target latency is worth this share of one in time.
     static constexpr double late_worth_share = 0.1;
 
@@ -60,10 +61,15 @@
     std::size_t arrived(time_point now, std::string_view route, std::uint32_t priority,
                         duration work);
 
+    // Returns when the caller of an arrived request probably made its first attempt, from the time
+    // that it still waits: after a refusal it waits less than other callers of this kind. Callers
+    // that wait less than half as long as others are not taken for returning ones.
+    time_point first_attempt_at(time_point now, std::size_t kind, duration caller_timeout);
+
     // Whether an arrived request is taken. While requests wait for long, those that are worth less
     // for their work are taken only in part, so that all daemons together take what the backend
     // servers can serve.
-    bool admits(time_point now, std::size_t kind);
+    bool admits(time_point now, const waiting_request& request);
 
     // Whether a waiting request may take a backend server that then slows down. This is for the
     // most urgent requests, while they are a minor part of the work.
@@ -134,6 +140,10 @@
         decaying_sum arrived;
         decaying_sum started;
         duration work{};
+        // The longest time that callers waited, in the current and in the last period.
+        duration longest_timeout{};
+        duration last_longest_timeout{};
+        time_point timeout_period_at{};
         // Part of a request that is still to be taken.
         double credit = 0;
         // The share that is taken, at the time of its last change.
