--- a/src/azureshore/balance/internal/admission.cpp
+++ b/src/azureshore/balance/internal/admission.cpp
@@ -172,10 +172,13 @@
 void dispatcher::state::start(in_flight_request& request)
 {
     auto& target = this->service(request.service);
+    const auto& incoming = request.incoming;
     request.kind =
         target.overload.arrived(this->now(), request.matched_route->name, request.priority,
                                 this->response_time_of(request).expected(1));
-    if (!target.overload.admits(this->now(), request.kind)) {
+    request.first_attempt_at = target.overload.first_attempt_at(
+        incoming.arrived, request.kind, incoming.caller_timeout.value_or(default_caller_timeout));
+    if (!target.overload.admits(this->now(), this->waiting_view(request))) {
         this->refuse_overloaded(request, this->counts.refused_on_arrival, target.queue.size());
         return;
     }
--- a/src/azureshore/balance/internal/dispatcher_state.hpp
+++ b/src/azureshore/balance/internal/dispatcher_state.hpp
@@ -69,6 +69,8 @@
     time_point charged_at;
     // That of the account, or else that of the route. Zero is the most urgent.
     std::uint32_t priority = 0;
+    // When its caller probably made its first attempt.
+    time_point first_attempt_at;
     // Its kind in the overload policy of the service.
     std::size_t kind = 0;
     // The timeout of the route or of the caller, whichever is first.
