Fill quota buckets at the share of the gateways in contact

When links between gateways are cut, each part takes the other one's gateways for gone, one after the other, and has its own owners, which together would grant up to twice an account's quota. A gateway that knows no other one although its settings name seeds owns nothing.

--- a/src/azureshore/daemon/gateway_daemon.cpp
+++ b/src/azureshore/daemon/gateway_daemon.cpp
@@ -119,7 +119,7 @@
         this->gateway.decisions().set_quota_source(
             [this](const account_id& account,
                    std::function<void(const balance::quota_answer&)> done) {
-                this->quotas.keeper().take(account, std::move(done));
+                this->quotas.take(account, std::move(done));
             });
         this->store.start();
         this->executor.run();
@@ -165,10 +165,10 @@
             this->gateway.decisions().backends_listed();
         };
         hooks.received = [this](const wire::envelope& message) {
-            this->quotas.keeper().receive(message);
+            this->quotas.receive(message);
         };
         hooks.members_changed = [this](const sharing::members& known) {
-            this->quotas.members_changed(known);
+            this->quotas.members_changed(this->store.daemons());
             this->gateway.decisions().set_fleet(
                 known.serving_count(),
                 [&known](const backend_id& id) { return known.share_of(id.value, cold_sharers); });
--- a/src/azureshore/daemon/internal/account_quotas.cpp
+++ b/src/azureshore/daemon/internal/account_quotas.cpp
@@ -3,8 +3,9 @@
 #include "azureshore/observe/metrics.hpp"
 
 #include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 
+#include <algorithm>
+#include <cmath>
 #include <memory>
 #include <utility>
 
@@ -14,6 +15,9 @@
 
 // Daemons that keep the quota of one account: while one of them fails, the other one grants half.
 constexpr std::size_t owners_of_account = 2;
+constexpr duration contact_interval = std::chrono::milliseconds(250);
+// Changes of the daemons in contact by less than this share are not logged.
+constexpr double logged_contact_change = 0.1;
 
 quota::quota_bounds bounds_of(const settings::gateway_settings& settings)
 {
@@ -26,7 +30,10 @@
                                const settings::gateway_settings& settings,
                                account_quota_hooks owner_hooks)
     : executor(context), hooks(std::move(owner_hooks)),
-      kept(settings.name, bounds_of(settings), this->quota_hooks())
+      has_other_seeds(
+          std::any_of(settings.seeds.begin(), settings.seeds.end(),
+                      [&](const auto& each) { return each.host != settings.peers.host; })),
+      kept(settings.name, bounds_of(settings), this->quota_hooks()), contact_timer(context)
 {
 }
 
@@ -62,12 +69,63 @@
     this->log_owned();
 }
 
-void account_quotas::members_changed(const sharing::members& known)
+void account_quotas::members_changed(const sharing::store_sharing& known)
 {
-    this->kept.set_owners([&known](const account_id& account) {
-        return known.first_of("quota " + account.value, owners_of_account);
-    });
+    const auto now = steady_now();
+    std::vector<vm_id> serving;
+    std::vector<vm_id> leaving;
+    for (const auto& each : known.known_members().others()) {
+        (each.state == wire::member_state::leaving ? leaving : serving).push_back(each.name);
+    }
+    this->contact.set_members(now, serving, leaving);
+    const bool first = std::exchange(this->daemons, &known) == nullptr;
+    this->kept.set_owners([this](const account_id& account) { return this->owners_of(account); });
     this->log_owned();
+    if (first) {
+        this->watch_contact();
+    }
+}
+
+// A daemon that knows no other one, though there are some, can't tell who owns a quota.
+std::vector<vm_id> account_quotas::owners_of(const account_id& account) const
+{
+    if (this->has_other_seeds && !this->contact.knows_others()) {
+        return {};
+    }
+    return this->daemons->known_members().first_of("quota " + account.value, owners_of_account);
+}
+
+void account_quotas::watch_contact()
+{
+    if (const auto report = this->daemons->contact()) {
+        this->contact.reported(report->daemons, report->heard_at);
+    }
+    const auto share = this->contact.share(steady_now());
+    if (share != this->contact_share) {
+        if (std::abs(share - this->contact_share) >= logged_contact_change) {
+            this->hooks.log({"quota_contact", {{"share", std::to_string(share)}}});
+        }
+        this->contact_share = share;
+        this->kept.set_contact(share);
+    }
+    this->contact_timer.expires_after(contact_interval);
+    this->contact_timer.async_wait([this](const asio::error_code& error) {
+        if (!error) {
+            this->watch_contact();
+        }
+    });
+}
+
+void account_quotas::take(const account_id& account,
+                          std::function<void(const balance::quota_answer&)> done)
+{
+    this->kept.take(account, std::move(done));
+}
+
+void account_quotas::receive(const wire::envelope& message)
+{
+    this->contact.heard(steady_now());
+    this->kept.receive(message);
 }
 
 // One line for all accounts, as there may be many.
@@ -96,6 +154,7 @@
     made.add("azureshore_quota_tokens_expired_total", {}, counts.tokens_expired);
     made.add("azureshore_quota_pauses_total", {}, counts.pauses);
     made.set("azureshore_quota_owned_accounts", {}, static_cast<double>(this->kept.owned_count()));
+    made.set("azureshore_quota_contact_share", {}, this->contact_share);
     return made.to_text();
 }
 
--- a/src/azureshore/daemon/internal/account_quotas.hpp
+++ b/src/azureshore/daemon/internal/account_quotas.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "azureshore/observe/decision.hpp"
+#include "azureshore/quota/contact_tracker.hpp"
 #include "azureshore/quota/quota.hpp"
 #include "azureshore/settings/gateway_settings.hpp"
-#include "azureshore/sharing/members.hpp"
+#include "azureshore/sharing/store_sharing.hpp"
 
 #include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
 
 #include <string>
 
@@ -27,10 +29,13 @@
     void set_bounds(const settings::gateway_settings& settings);
     void configure(const balance::traffic_configuration& configuration);
 
-    // Takes a change of the daemons. `known` must stay valid until the next call.
-    void members_changed(const sharing::members& known);
+    // Takes a change of the daemons. `daemons` must stay valid from then on.
+    void members_changed(const sharing::store_sharing& daemons);
 
-    [[nodiscard]] quota::quota_keeper& keeper() { return this->kept; }
+    void take(const account_id& account, std::function<void(const balance::quota_answer&)> done);
+
+    // Takes any message of another daemon.
+    void receive(const wire::envelope& message);
 
     // The counters in Prometheus' text format.
     [[nodiscard]] std::string metrics() const;
@@ -38,11 +43,20 @@
 private:
     quota::quota_hooks quota_hooks();
     void log_owned();
+    // Keeps what the keeper assumes of the daemons in contact up to date.
+    void watch_contact();
+    [[nodiscard]] std::vector<vm_id> owners_of(const account_id& account) const;
 
     asio::io_context& executor;
     account_quota_hooks hooks;
+    // Whether there are daemons besides this one, according to the settings.
+    bool has_other_seeds = false;
+    const sharing::store_sharing* daemons = nullptr;
+    quota::contact_tracker contact;
+    double contact_share = 1;
     quota::quota_keeper kept;
     std::size_t logged_owned = 0;
+    asio::steady_timer contact_timer;
 };
 
 } // namespace azureshore::daemon::detail
--- a/src/azureshore/daemon/internal/gateway_store.cpp
+++ b/src/azureshore/daemon/internal/gateway_store.cpp
@@ -50,27 +50,6 @@
 {
 }
 
-balance::registry_hooks gateway_store::registry_hooks()
-{
-    balance::registry_hooks made;
-    made.changed = [this](const balance::registration& now_known) {
-        if (!this->listing) {
-            this->hooks.log({"backend_registered",
-                             {{"backend", now_known.id.value},
-                              {"service", now_known.service.value},
-                              {"address", to_string(now_known.endpoint)},
-                              {"state", now_known.draining ? "draining" : "ready"},
-                              {"sequence", std::to_string(now_known.sequence)}}});
-        }
-        this->hooks.backend_changed(now_known);
-    };
-    made.removed = [this](const backend_id& id, const std::string& why) {
-        this->hooks.log({"backend_removed", {{"backend", id.value}, {"why", why}}});
-        this->hooks.backend_removed(id);
-    };
-    return made;
-}
-
 void gateway_store::start()
 {
     this->sharing.start();
@@ -127,68 +106,6 @@
     return {this->topics.operators, this->topics.registrations, this->topics.members};
 }
 
-sharing::sharing_hooks gateway_store::sharing_hooks()
-{
-    sharing::sharing_hooks made;
-    made.clock = steady_now;
-    made.after = [this](duration delay, std::function<void()> work) {
-        auto later = std::make_shared<asio::steady_timer>(this->executor, delay);
-        later->async_wait([later, work = std::move(work)](const asio::error_code& error) {
-            if (!error) {
-                work();
-            }
-        });
-    };
-    made.send = [this](const std::vector<address>& recipients, const wire::message& body) {
-        const auto datagram = to_datagram(wire::encode({this->self, body}));
-        for (const auto& each : recipients) {
-            this->socket.send(each, datagram);
-        }
-    };
-    made.announce = [this](const std::string& what, std::function<void(bool)> done) {
-        this->topics.announce(this->self, what, std::move(done));
-    };
-    made.replace_records = [this](wire::shared_topic topic,
-                                  const std::vector<platform::keyed_record>& records,
-                                  const std::vector<wire::earlier_record>& earlier) {
-        return this->listed(topic, records, earlier);
-    };
-    made.merge_restored_records = [this](wire::shared_topic topic,
-                                         const std::vector<platform::keyed_record>& records) {
-        return this->restored(topic, records);
-    };
-    made.take_earlier_record = [this](wire::shared_topic topic,
-                                      const wire::earlier_record& earlier) {
-        return topic == wire::shared_topic::operators ? this->take_earlier_operator_record(earlier)
-                                                      : this->take_earlier_registration(earlier);
-    };
-    made.is_usable = [this](wire::shared_topic topic, const platform::keyed_record& record) {
-        return topic == wire::shared_topic::operators ||
-               this->platform.read_registration(record).ok();
-    };
-    made.apply_record = [this](wire::shared_topic topic, const platform::keyed_record& record) {
-        return this->changed(topic, record);
-    };
-    made.store_unavailable = [this] {
-        this->hooks.log({"store_lost", {}});
-        this->registry.store_became_unavailable();
-    };
-    made.store_available = [this] {
-        this->hooks.log({"store_back", {}});
-        this->registry.store_became_available(steady_now());
-    };
-    made.members_changed = [this] {
-        this->members_changed();
-    };
-    made.request_rate = this->hooks.request_rate;
-    made.decided = this->hooks.log;
-    made.random = system_random();
-    made.crash_suspected = [this](std::uint64_t fingerprint) {
-        this->hooks.suspected(fingerprint);
-    };
-    return made;
-}
-
 void gateway_store::received(std::string_view bytes)
 {
     const auto message = from_datagram(bytes);
@@ -198,11 +115,7 @@
             {"message_unreadable", {{"why", std::string(envelope.status().message())}}});
         return;
     }
-    if (std::holds_alternative<wire::quota_query>(envelope->body) ||
-        std::holds_alternative<wire::quota_reply>(envelope->body)) {
-        this->hooks.received(*envelope);
-        return;
-    }
+    this->hooks.received(*envelope);
     this->sharing.receive(*envelope);
 }
 
--- a/src/azureshore/daemon/internal/gateway_store.hpp
+++ b/src/azureshore/daemon/internal/gateway_store.hpp
@@ -25,7 +25,7 @@
     std::function<void(const sharing::members&)> members_changed;
     std::function<void(std::uint64_t fingerprint)> suspected;
     std::function<double()> request_rate;
-    // Called with each message of another daemon that is not about the store.
+    // Called with each message of another daemon.
     std::function<void(const wire::envelope&)> received;
     std::function<void(const observe::decision&)> log;
 };
@@ -50,6 +50,9 @@
     // Requests a second that all daemons get together; zero if unknown.
     [[nodiscard]] double total_request_rate() const;
 
+    // The daemons that this one knows, and how many of them are in contact.
+    [[nodiscard]] const sharing::store_sharing& daemons() const { return this->sharing; }
+
     // This daemon's view of the store, in Prometheus' text format.
     [[nodiscard]] std::string metrics() const;
 
--- a/src/azureshore/sharing/members.cpp
+++ b/src/azureshore/sharing/members.cpp
@@ -186,15 +186,6 @@
     return first;
 }
 
-std::size_t members::remembered_count() const
-{
-    const auto left = std::count_if(this->known.begin(), this->known.end(), [](const auto& each) {
-        return each.second.entry.state == wire::member_state::leaving;
-    });
-    const bool self_leaving = this->own_entry.state == wire::member_state::leaving;
-    return this->known.size() - static_cast<std::size_t>(left) + (self_leaving ? 0 : 1);
-}
-
 std::vector<wire::member_entry> members::others() const
 {
     std::vector<wire::member_entry> entries;
--- a/src/azureshore/sharing/members.hpp
+++ b/src/azureshore/sharing/members.hpp
@@ -55,10 +55,6 @@
     // Returns the first `count` serving daemons in the task's own rank order.
     [[nodiscard]] std::vector<vm_id> first_of(const std::string& task, std::size_t count) const;
 
-    // Returns the number of daemons, including this one, that are serving or were declared gone and
-    // are not forgotten yet.
-    [[nodiscard]] std::size_t remembered_count() const;
-
     // Returns the other daemons that are not gone.
     [[nodiscard]] std::vector<wire::member_entry> others() const;
     [[nodiscard]] std::optional<wire::member_entry> find(const vm_id& name) const;
