Restrict the versions of a service's servers that get requests

A roll-out needs a new version to get a bounded share of a service's requests until it is judged, and then all or none of them. The dispatcher gets a rule per service: none of the target version, a share, or nothing else. The share counts second sends, and goes to so few servers that each has the usual load. A request that finds no free server of the target version goes to the others. Ends of attempts are reported to an observer while a rule holds. Without a rule nothing changes.

--- a/src/azureshore/balance/backend_server.hpp
+++ b/src/azureshore/balance/backend_server.hpp
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
 
 namespace azureshore::balance {
 
@@ -24,6 +25,8 @@
     std::uint64_t sequence = 0;
     // Start of the process in Unix milliseconds, which distinguishes its runs. Zero if unknown.
     std::int64_t started_at = 0;
+    // The version of the program that it runs. Empty if unknown.
+    std::string version;
 
     bool operator==(const registration&) const = default;
 };
--- a/src/azureshore/balance/dispatch_types.hpp
+++ b/src/azureshore/balance/dispatch_types.hpp
@@ -122,6 +122,19 @@
     std::optional<duration> backend_time;
 };
 
+// How an attempt ended at a backend server of a service with a rule on versions.
+struct attempt_observation {
+    service_id service;
+    std::string route;
+    std::string version;
+    // Whether the response was a server error or none came although the request may have run.
+    bool failed = false;
+    // Whether the backend server was cold, so that its response time is no measure of its version.
+    bool cold = false;
+    // Of an attempt that was cancelled, the time until then.
+    duration response_time{};
+};
+
 // Whether a request lies within the quota of its client account.
 enum class quota_decision : std::uint8_t {
     granted,
@@ -158,6 +171,8 @@
     std::function<void(std::uint64_t fingerprint)> suspected;
     // Called with each completed request, for metrics. May be empty.
     std::function<void(const completed_request&)> completed;
+    // Called with the end of each attempt while the service has a rule on versions. May be empty.
+    std::function<void(const attempt_observation&)> observed{};
 };
 
 // The schedule of a daemon's planned stop.
--- a/src/azureshore/balance/dispatcher.cpp
+++ b/src/azureshore/balance/dispatcher.cpp
@@ -70,6 +70,27 @@
     this->inner->backends.set_out_of_service(std::move(data_centres));
 }
 
+void dispatcher::set_version_rule(const service_id& service, const version_rule& rule)
+{
+    this->inner->backends.versions.set_rule(service, rule);
+}
+
+void dispatcher::remove_version_rule(const service_id& service)
+{
+    this->inner->backends.versions.remove_rule(service);
+}
+
+void dispatcher::set_observer(std::function<void(const attempt_observation&)> observer)
+{
+    this->inner->hooks.observed = std::move(observer);
+}
+
+version_counts dispatcher::count_versions(const service_id& service,
+                                          const std::string& target) const
+{
+    return this->inner->backends.count_versions(service, target);
+}
+
 void dispatcher::set_bounds(const shared_bounds& bounds)
 {
     this->inner->set_bounds(bounds);
--- a/src/azureshore/balance/dispatcher.hpp
+++ b/src/azureshore/balance/dispatcher.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "azureshore/balance/dispatch_types.hpp"
+#include "azureshore/balance/version_filter.hpp"
 
 #include <memory>
 #include <set>
@@ -47,6 +48,17 @@
     // Sets the data centres to whose backend servers no requests are sent.
     void set_out_of_service(std::set<data_centre_id> data_centres);
 
+    // Sets which versions of a service's backend servers get requests, or removes the rule.
+    void set_version_rule(const service_id& service, const version_rule& rule);
+    void remove_version_rule(const service_id& service);
+
+    // Sets the function that is called with the end of each attempt at a service with such a rule.
+    void set_observer(std::function<void(const attempt_observation&)> observer);
+
+    // Returns how many backend servers of a service are in service, by version.
+    [[nodiscard]] version_counts count_versions(const service_id& service,
+                                                const std::string& target) const;
+
     // Replaces the bounds.
     void set_bounds(const shared_bounds& bounds);
 
--- a/src/azureshore/balance/internal/attempts.cpp
+++ b/src/azureshore/balance/internal/attempts.cpp
@@ -33,9 +33,11 @@
     }
     if (!within_budget || backend == nullptr ||
         !this->backends.can_accept(now, *backend, this->traits(request)) ||
+        !this->backends.permits_version(*backend, request.exposed) ||
         !this->backends.acquire_cold_send(now, *backend, this->traits(request))) {
         this->release_connection(choice);
         if (!request.running_attempts.empty()) {
+            this->end_exposure(request);
             return;
         }
         if (within_budget) {
@@ -53,13 +55,20 @@
         ++this->counts.second_sends;
         this->service(request.service).retries.add_retry(now);
     }
+    if (request.attempts == 1) {
+        this->backends.versions.add_request(request.service);
+    }
+    request.exposed = false;
+    request.exposure_failed = false;
     ++backend->in_flight;
     if (!request.queue_time) {
         request.queue_time = now - request.incoming.arrived;
     }
     request.running_attempts.insert(attempt);
     request.tried_backends.insert(choice.backend);
-    this->attempts[attempt] = {request.incoming.number, choice.backend, now, choice.cost};
+    this->attempts[attempt] = {
+        request.incoming.number,     choice.backend,           now, choice.cost,
+        backend->registered.version, now < backend->cold_until};
     this->log("send", request,
               {{"attempt", std::to_string(attempt.value)},
                {"backend", choice.backend.value},
@@ -153,6 +162,11 @@
                {"status", std::to_string(result.status)},
                {"signed", result.is_signed ? "true" : "false"},
                {"ms", format_decimal(to_milliseconds(now - ended_attempt.sent_at))}});
+    if (result.end != attempt_end::not_run) {
+        this->observe_attempt(*request, ended_attempt,
+                              result.end != attempt_end::answered ||
+                                  result.status >= first_server_error);
+    }
     if (result.end == attempt_end::answered) {
         this->handle_answer(*request, attempt, ended_attempt, result);
         return;
@@ -178,6 +192,15 @@
     this->retry_or_refuse(*request);
 }
 
+void dispatcher::state::observe_attempt(const in_flight_request& request,
+                                        const running_attempt& attempt, bool failed)
+{
+    if (this->hooks.observed && this->backends.versions.find(request.service) != nullptr) {
+        this->hooks.observed({request.service, request.matched_route->name, attempt.version, failed,
+                              attempt.cold, this->now() - attempt.sent_at});
+    }
+}
+
 void dispatcher::state::handle_answer(in_flight_request& request, attempt_number attempt,
                                       const running_attempt& ended_attempt,
                                       const attempt_result& result)
--- a/src/azureshore/balance/internal/backend_table.cpp
+++ b/src/azureshore/balance/internal/backend_table.cpp
@@ -1,5 +1,7 @@
 #include "azureshore/balance/internal/backend_table.hpp"
 
+#include "azureshore/core/hash.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -36,6 +38,8 @@
 // Share of a cold backend server's rate that is used. Requests sent at even intervals may arrive
 // closer together.
 constexpr double cold_rate_utilisation = 0.9;
+// A single slow VM must not decide a roll-out.
+constexpr std::size_t min_exposed_backends = 3;
 
 } // namespace
 
@@ -119,12 +123,21 @@
 }
 
 std::vector<backend_state*> backend_table::candidates(time_point now, const service_traits& traits,
-                                                      const std::set<backend_id>& excluded)
+                                                      const std::set<backend_id>& excluded,
+                                                      bool exposed)
 {
     std::vector<std::pair<double, backend_state*>> ranked;
+    const auto* const rule = this->versions.find(traits.name);
+    const auto in_service =
+        rule == nullptr ? version_counts{} : this->count_versions(traits.name, rule->target);
+    const auto sharers = rule == nullptr || !exposed || in_service.other == 0
+                             ? std::set<backend_id>{}
+                             : this->exposed_backends(traits.name, *rule, in_service);
     for (auto& [id, each] : this->backends) {
         if (each.registered.service == traits.name && !excluded.contains(id) &&
-            now >= each.backoff_until && this->can_accept(now, each, traits)) {
+            now >= each.backoff_until && this->can_accept(now, each, traits) &&
+            (rule == nullptr || this->permits(*rule, in_service, each, exposed)) &&
+            (sharers.empty() || sharers.contains(id))) {
             ranked.emplace_back(this->estimated_cost(now, each), &each);
         }
     }
@@ -138,6 +151,63 @@
     return ordered;
 }
 
+version_counts backend_table::count_versions(const service_id& service,
+                                             const std::string& target) const
+{
+    version_counts counted;
+    for (const auto& [id, each] : this->backends) {
+        if (each.registered.service == service && this->reachable(each)) {
+            ++(each.registered.version == target ? counted.target : counted.other);
+        }
+    }
+    return counted;
+}
+
+bool backend_table::permits(const version_rule& rule, const version_counts& in_service,
+                            const backend_state& backend, bool exposed) const
+{
+    const bool is_target = backend.registered.version == rule.target;
+    switch (rule.use) {
+    case version_use::other_only:
+        return !is_target || in_service.other == 0;
+    case version_use::share:
+        return is_target == exposed || in_service.other == 0;
+    case version_use::target_only:
+        return is_target || in_service.target == 0;
+    }
+    return true;
+}
+
+bool backend_table::permits_version(const backend_state& backend, bool exposed) const
+{
+    const auto& service = backend.registered.service;
+    const auto* const rule = this->versions.find(service);
+    return rule == nullptr ||
+           this->permits(*rule, this->count_versions(service, rule->target), backend, exposed);
+}
+
+// The same on all daemons, as it depends on the names alone.
+std::set<backend_id> backend_table::exposed_backends(const service_id& service,
+                                                     const version_rule& rule,
+                                                     const version_counts& in_service) const
+{
+    std::vector<std::pair<std::uint64_t, backend_id>> ordered;
+    for (const auto& [id, each] : this->backends) {
+        if (each.registered.service == service && each.registered.version == rule.target &&
+            this->reachable(each)) {
+            ordered.emplace_back(stable_hash(id.value), id);
+        }
+    }
+    std::sort(ordered.begin(), ordered.end());
+    const auto even = std::ceil(rule.share * static_cast<double>(in_service.other));
+    const auto count = std::max(min_exposed_backends, static_cast<std::size_t>(even));
+    std::set<backend_id> sharers;
+    for (std::size_t index = 0; index < std::min(count, ordered.size()); ++index) {
+        sharers.insert(ordered[index].second);
+    }
+    return sharers;
+}
+
 std::size_t backend_table::count_in_service(const service_id& service) const
 {
     return static_cast<std::size_t>(
--- a/src/azureshore/balance/internal/backend_table.hpp
+++ b/src/azureshore/balance/internal/backend_table.hpp
@@ -3,6 +3,7 @@
 #include "azureshore/balance/backend_server.hpp"
 #include "azureshore/balance/cold_rate_limiter.hpp"
 #include "azureshore/balance/traffic_configuration.hpp"
+#include "azureshore/balance/version_filter.hpp"
 #include "azureshore/core/random.hpp"
 
 #include <functional>
@@ -47,8 +48,18 @@
     backend_state* find(const backend_id& id);
 
     // Returns the backend servers of a service that may get a request now, the cheapest first.
+    // `exposed` says that the request is to go to the target version of a roll-out.
     std::vector<backend_state*> candidates(time_point now, const service_traits& traits,
-                                           const std::set<backend_id>& excluded);
+                                           const std::set<backend_id>& excluded,
+                                           bool exposed = false);
+
+    // Counts the backend servers of a service that are in service.
+    [[nodiscard]] version_counts count_versions(const service_id& service,
+                                                const std::string& target) const;
+
+    // Whether the rules on versions let a backend server get a request. A rule does not apply while
+    // no backend server that it prefers is in service.
+    [[nodiscard]] bool permits_version(const backend_state& backend, bool exposed) const;
 
     // Counts the backend servers of the service that neither drain nor are in a data centre out of
     // service, whatever their load or health.
@@ -68,7 +79,16 @@
     void record_failure(time_point now, const backend_id& id, double weight);
     void record_load(time_point now, const backend_id& id, const load_report& load);
 
+    version_filter versions;
+
 private:
+    [[nodiscard]] bool permits(const version_rule& rule, const version_counts& in_service,
+                               const backend_state& backend, bool exposed) const;
+    // Returns the backend servers of the target version that share the exposure, so few that each
+    // gets about as many requests as one of another version.
+    [[nodiscard]] std::set<backend_id> exposed_backends(const service_id& service,
+                                                        const version_rule& rule,
+                                                        const version_counts& in_service) const;
     [[nodiscard]] bool reachable(const backend_state& backend) const;
     double estimated_cost(time_point now, const backend_state& backend);
     [[nodiscard]] double cold_rate(const backend_state& backend,
--- a/src/azureshore/balance/internal/dispatcher_state.hpp
+++ b/src/azureshore/balance/internal/dispatcher_state.hpp
@@ -49,6 +49,9 @@
     backend_id backend;
     time_point sent_at;
     double cost = 1;
+    // Of the backend server when the request was sent.
+    std::string version;
+    bool cold = false;
 };
 
 // A request between its arrival and its final answer.
@@ -68,6 +71,10 @@
     std::set<backend_id> tried_backends;
     bool may_have_run = false;
     std::optional<backend_search> search;
+    // Whether its next send is to go to the target version of a roll-out and is taken from the
+    // allowance, and whether a search for such a send has failed.
+    bool exposed = false;
+    bool exposure_failed = false;
     // Whether it is in the service's queue, with no search in progress.
     bool queued = false;
     // An attempt answered with a server error, delivered if no better answer comes.
@@ -153,6 +160,10 @@
                         const probe_result& result);
     void finish_search(in_flight_request& request);
     void cancel_search(in_flight_request& request);
+    bool search_other_versions(in_flight_request& request, const backend_search& ended);
+    void end_exposure(in_flight_request& request);
+    void observe_attempt(const in_flight_request& request, const running_attempt& attempt,
+                         bool failed);
     [[nodiscard]] bool should_wait(const in_flight_request& request, double cost);
 
     // Queue.
--- a/src/azureshore/balance/internal/endings.cpp
+++ b/src/azureshore/balance/internal/endings.cpp
@@ -10,6 +10,8 @@
 
 // Limits the length of a log line.
 constexpr std::size_t max_logged_path = 100;
+// A cancelled attempt counts as late from this multiple of the expected response time on.
+constexpr double late_response_factor = 1.8;
 
 } // namespace
 
@@ -113,6 +115,15 @@
     this->remove_from_queue(request);
     this->cancel_search(request);
     const auto running = request.running_attempts;
+    for (const auto attempt : running) {
+        // An attempt that is cancelled early shows nothing of its version's response times.
+        const auto found = this->attempts.find(attempt);
+        if (found != this->attempts.end() &&
+            this->now() - found->second.sent_at >=
+                this->response_time_of(request).expected(late_response_factor)) {
+            this->observe_attempt(request, found->second, false);
+        }
+    }
     this->requests.erase(request.incoming.number);
     for (const auto attempt : running) {
         const auto found = this->attempts.find(attempt);
--- a/src/azureshore/balance/internal/search.cpp
+++ b/src/azureshore/balance/internal/search.cpp
@@ -42,6 +42,9 @@
 void dispatcher::state::start_search(in_flight_request& request, bool for_second_send,
                                      bool from_queue)
 {
+    if (!request.exposed && !request.exposure_failed) {
+        request.exposed = this->backends.versions.try_take(request.service);
+    }
     request.search.emplace();
     request.search->generation = ++this->last_generation;
     request.search->for_second_send = for_second_send;
@@ -69,7 +72,8 @@
     }
     auto excluded = search.probed;
     excluded.insert(request.tried_backends.begin(), request.tried_backends.end());
-    const auto candidates = this->backends.candidates(this->now(), this->traits(request), excluded);
+    const auto candidates =
+        this->backends.candidates(this->now(), this->traits(request), excluded, request.exposed);
     if (candidates.empty() ||
         !this->service(request.service)
              .probe_bucket.try_take(this->now(), this->probe_rate(request.service))) {
@@ -181,7 +185,8 @@
     auto& search = *request.search;
     const auto* backend = this->backends.find(sent.backend);
     const bool usable = backend != nullptr && result.healthy &&
-                        this->backends.can_accept(this->now(), *backend, this->traits(request));
+                        this->backends.can_accept(this->now(), *backend, this->traits(request)) &&
+                        this->backends.permits_version(*backend, request.exposed);
     if (!usable) {
         this->hooks.release(probe);
         this->probe_next(request);
@@ -229,6 +234,9 @@
 void dispatcher::state::finish_search(in_flight_request& request)
 {
     const auto search = std::exchange(request.search, std::nullopt);
+    if (request.exposed && this->search_other_versions(request, *search)) {
+        return;
+    }
     const auto now = this->now();
     auto best = search->best;
     if (best && now - best->measured_at > max_load_age) {
@@ -261,13 +269,40 @@
         this->release_connection(*best);
     }
     if (search->for_second_send && !request.running_attempts.empty()) {
+        this->end_exposure(request);
         return;
     }
     this->enqueue_or_refuse(request);
 }
 
+// Begins another search if that for a server of the target version found none. Returns whether it
+// did.
+bool dispatcher::state::search_other_versions(in_flight_request& request,
+                                              const backend_search& ended)
+{
+    if (ended.best) {
+        if (!ended.best->full && this->now() - ended.best->measured_at <= max_load_age) {
+            return false;
+        }
+        this->release_connection(*ended.best);
+    }
+    this->end_exposure(request);
+    request.exposure_failed = true;
+    this->start_search(request, ended.for_second_send, ended.from_queue);
+    return true;
+}
+
+// Gives the exposure of a request back that is not sent to the target version.
+void dispatcher::state::end_exposure(in_flight_request& request)
+{
+    if (std::exchange(request.exposed, false)) {
+        this->backends.versions.give_back(request.service);
+    }
+}
+
 void dispatcher::state::cancel_search(in_flight_request& request)
 {
+    this->end_exposure(request);
     if (request.search && request.search->best) {
         this->release_connection(*request.search->best);
     }
@@ -276,6 +311,7 @@
 
 void dispatcher::state::enqueue_or_refuse(in_flight_request& request)
 {
+    this->end_exposure(request);
     const auto now = this->now();
     auto& service_entry = this->service(request.service);
     if (this->backends.count_in_service(request.service) == 0) {
