--- a/src/azureshore/sharing/internal/membership.cpp
+++ b/src/azureshore/sharing/internal/membership.cpp
@@ -160,15 +160,21 @@
     this->reports[hello.sender.name] = {0, hello.request_rate};
 }
 
-// Tells the parent in the first tree that this daemon lives. A root's parent is the reader.
-void store_sharing::state::report_to_parent()
+// Returns the parent in the first tree. A root's parent is the reader.
+std::optional<wire::member_entry> store_sharing::state::report_recipient() const
 {
-    const bool reads = this->is_reader();
     auto recipient = this->known_members.parent();
-    if (!recipient && this->reader && !reads) {
+    if (!recipient && this->reader && !this->is_reader()) {
         recipient = this->known_members.find(*this->reader);
     }
-    if (recipient) {
+    return recipient;
+}
+
+// Tells its parent that this daemon lives.
+void store_sharing::state::report_to_parent()
+{
+    const bool reads = this->is_reader();
+    if (const auto recipient = this->report_recipient()) {
         // The reader counts its own subtree itself.
         const double rate = reads ? 0 : this->subtree_request_rate();
         this->send_to({*recipient}, wire::member_hello{this->known_members.self(),
--- a/src/azureshore/sharing/internal/messages.cpp
+++ b/src/azureshore/sharing/internal/messages.cpp
@@ -304,6 +304,19 @@
             this->hooks.crash_suspected(suspicion->fingerprint);
         }
     }
+    else if (const auto* notice = std::get_if<wire::rollout_notice>(&received.body)) {
+        if (this->first_receipt(notice->broadcast_id)) {
+            this->send_to(this->known_members.children(), received.body);
+            if (this->hooks.rollouts_noticed) {
+                this->hooks.rollouts_noticed(*notice);
+            }
+        }
+    }
+    else if (const auto* report = std::get_if<wire::rollout_report>(&received.body)) {
+        if (this->hooks.rollouts_reported) {
+            this->hooks.rollouts_reported(*report);
+        }
+    }
     else if (const auto* snapshot = std::get_if<wire::topic_snapshot>(&received.body)) {
         if (snapshot->broadcast_id == 0) {
             this->handle_snapshot(*snapshot);
@@ -443,4 +456,20 @@
     this->broadcast(suspicion);
 }
 
+void store_sharing::state::broadcast_rollouts(const std::vector<wire::rollout_status>& rollouts)
+{
+    const wire::rollout_notice notice{rollouts, this->hooks.random()};
+    this->first_receipt(notice.broadcast_id);
+    this->broadcast(notice);
+}
+
+bool store_sharing::state::report_rollouts(const wire::rollout_report& report)
+{
+    const auto recipient = this->report_recipient();
+    if (recipient) {
+        this->send_to({*recipient}, report);
+    }
+    return recipient.has_value();
+}
+
 } // namespace azureshore::sharing
--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -18,6 +18,9 @@
     void leave();
     void receive(const wire::envelope& received);
     void broadcast_crash_suspicion(std::uint64_t fingerprint);
+    bool report_rollouts(const wire::rollout_report& report);
+    void broadcast_rollouts(const std::vector<wire::rollout_status>& rollouts);
+    [[nodiscard]] bool is_reader() const;
     [[nodiscard]] bool topics_listed() const;
     [[nodiscard]] bool is_current(wire::shared_topic kind) const;
 
@@ -220,7 +223,6 @@
     void read_both_topics();
     [[nodiscard]] duration max_staleness() const;
     void start_operators_long_poll();
-    [[nodiscard]] bool is_reader() const;
     // Decides at random whether this daemon calls the store now, so that about `callers` of all
     // daemons do.
     [[nodiscard]] bool is_chosen_to_call(double callers);
@@ -254,6 +256,7 @@
     void introduce(const wire::member_entry& entry, bool everywhere);
     void spread(const wire::member_entry& entry, bool everywhere);
     void flush_member_changes();
+    [[nodiscard]] std::optional<wire::member_entry> report_recipient() const;
     void report_to_parent();
     void count_missed_reports();
     void compare_views(std::uint64_t reader_digest);
--- a/src/azureshore/sharing/store_sharing.cpp
+++ b/src/azureshore/sharing/store_sharing.cpp
@@ -271,6 +271,21 @@
     this->inner->broadcast_crash_suspicion(fingerprint);
 }
 
+bool store_sharing::report_rollouts(const wire::rollout_report& report)
+{
+    return this->inner->report_rollouts(report);
+}
+
+void store_sharing::broadcast_rollouts(const std::vector<wire::rollout_status>& rollouts)
+{
+    this->inner->broadcast_rollouts(rollouts);
+}
+
+bool store_sharing::is_reader() const
+{
+    return this->inner->is_reader();
+}
+
 bool store_sharing::topics_listed() const
 {
     return this->inner->topics_listed();
--- a/src/azureshore/sharing/store_sharing.hpp
+++ b/src/azureshore/sharing/store_sharing.hpp
@@ -79,6 +79,9 @@
     std::function<void()> store_available;
     std::function<void()> members_changed;
     std::function<void(std::uint64_t fingerprint)> crash_suspected;
+    // May be empty if there are no roll-outs.
+    std::function<void(const wire::rollout_report&)> rollouts_reported;
+    std::function<void(const wire::rollout_notice&)> rollouts_noticed;
     // Returns the requests per second that this daemon receives.
     std::function<double()> request_rate;
     // Logs what this daemon does with what it receives. May be empty.
@@ -136,6 +139,16 @@
     // this fingerprint.
     void broadcast_crash_suspicion(std::uint64_t fingerprint);
 
+    // Sends a report to the daemon above this one in the first tree, or to the reader. Returns
+    // false if there is neither.
+    bool report_rollouts(const wire::rollout_report& report);
+
+    // Tells all other daemons the phases of the roll-outs.
+    void broadcast_rollouts(const std::vector<wire::rollout_status>& rollouts);
+
+    // Returns whether this daemon reads the store for all, as far as it knows.
+    [[nodiscard]] bool is_reader() const;
+
     // Returns whether this daemon has loaded both the operators' topic and the registrations,
     // either from the store or from another daemon's snapshot.
     [[nodiscard]] bool topics_listed() const;
--- a/src/azureshore/wire/internal/fields.hpp
+++ b/src/azureshore/wire/internal/fields.hpp
@@ -71,6 +71,12 @@
 AZURESHORE_FIELDS(run_group, m.service, m.partition, m.entries);
 
 AZURESHORE_FIELDS(topic_position, m.epoch, m.offset);
+AZURESHORE_FIELDS(version_counts, m.responses, m.failures, m.times);
+AZURESHORE_FIELDS(route_counts, m.route, m.target, m.other);
+AZURESHORE_FIELDS(rollout_evidence, m.service, m.target_version, m.routes);
+AZURESHORE_FIELDS(rollout_report, m.evidence);
+AZURESHORE_FIELDS(rollout_status, m.service, m.target_version, m.phase, m.stored, m.age);
+AZURESHORE_FIELDS(rollout_notice, m.rollouts, m.broadcast_id);
 AZURESHORE_FIELDS(shared_record, m.offset, m.key, m.value, m.dropped_value);
 AZURESHORE_FIELDS(topic_news, m.reader, m.topic, m.from, m.next, m.records, m.operators_next,
                   m.members_digest, m.request_rate, m.ends_round, m.broadcast_id,
@@ -138,6 +144,11 @@
     return false;
 }
 
+constexpr bool is_known(rollout_phase value)
+{
+    return value <= rollout_phase::rolled_back;
+}
+
 constexpr bool is_known(member_state value)
 {
     switch (value) {
--- a/src/azureshore/wire/message.cpp
+++ b/src/azureshore/wire/message.cpp
@@ -16,7 +16,8 @@
     "configuration_pull", "suspicion",      "configuration_state", "configuration_notice",
     "permit_queued",      "leader_claim",   "run_group",           "topic_news",
     "member_hello",       "member_changes", "crash_suspicion",     "topic_snapshot",
-    "member_digests",     "topics_pull",    "topic_update",        "pull_redirect"};
+    "member_digests",     "topics_pull",    "topic_update",        "pull_redirect",
+    "rollout_report",     "rollout_notice"};
 
 constexpr std::uint32_t envelope_parts = 4;
 
--- a/src/azureshore/wire/message.hpp
+++ b/src/azureshore/wire/message.hpp
@@ -5,6 +5,7 @@
 #include "azureshore/wire/membership_messages.hpp"
 #include "azureshore/wire/outcome_messages.hpp"
 #include "azureshore/wire/permit_messages.hpp"
+#include "azureshore/wire/rollout_messages.hpp"
 #include "azureshore/wire/sharing_messages.hpp"
 
 #include <absl/status/statusor.h>
@@ -24,7 +25,8 @@
                  permit_return, permit_report, configuration_records, configuration_pull, suspicion,
                  configuration_state, configuration_notice, permit_queued, leader_claim, run_group,
                  topic_news, member_hello, member_changes, crash_suspicion, topic_snapshot,
-                 member_digests, topics_pull, topic_update, pull_redirect>;
+                 member_digests, topics_pull, topic_update, pull_redirect, rollout_report,
+                 rollout_notice>;
 
 // A message with its sender.
 struct envelope {
--- a/tests/wire/message_tests.cpp
+++ b/tests/wire/message_tests.cpp
@@ -105,7 +105,10 @@
                          {1, 7},
                          std::chrono::milliseconds(3),
                          {{5, "plate-1", std::nullopt}, {6, "plate-2", "ready"}}},
-            pull_redirect{{leaving_member}, 3, 12}};
+            pull_redirect{{leaving_member}, 3, 12},
+            rollout_report{{{{"plates"}, "v2", {{7, {3, 1, {0, 2}}, {40, 0, {30, 9, 1}}}}}}},
+            rollout_notice{
+                {{{"plates"}, "v2", rollout_phase::moving, false, std::chrono::seconds(9)}}, 81}};
 }
 
 std::string bytes_of_any_length(const random_source& random, std::size_t limit)
@@ -193,11 +196,10 @@
 BOOST_AUTO_TEST_CASE(a_message_about_a_service_names_it)
 {
     const std::set<std::string_view> of_no_service{
-        "heartbeat",           "configuration_records", "configuration_pull",
-        "configuration_state", "configuration_notice",  "topic_news",
-        "member_hello",        "member_changes",        "crash_suspicion",
-        "topic_snapshot",      "member_digests",        "topics_pull",
-        "topic_update",        "pull_redirect"};
+        "heartbeat",      "configuration_records", "configuration_pull",   "rollout_report",
+        "rollout_notice", "configuration_state",   "configuration_notice", "topic_news",
+        "member_hello",   "member_changes",        "crash_suspicion",      "topic_snapshot",
+        "member_digests", "topics_pull",           "topic_update",         "pull_redirect"};
     for (const auto& body : one_of_each()) {
         BOOST_TEST_CONTEXT(name_of(body))
         {
