Serve roll-outs ordered in the platform's store

The operators' record rollout/SERVICE is read, with bounds on its time limit; the states are read from and written to the topic of the states, on condition of its end offset. Registrations may bear a version. The gateway daemon connects the decisions on roll-outs with the store, the other daemons and the dispatcher.

test_users_platform, test_settings, test_documentation, test_sharing and test_wire pass.

--- a/src/azureshore/daemon/gateway_daemon.cpp
+++ b/src/azureshore/daemon/gateway_daemon.cpp
@@ -112,6 +112,10 @@
                       {"callers", to_string(this->settings.callers)},
                       {"store", to_string(this->settings.store)}}});
         this->share_bounds();
+        this->gateway.decisions().set_observer(
+            [this](const balance::attempt_observation& observed) {
+                this->store.observe(observed);
+            });
         this->gateway.decisions().set_configuration_check(
             [this] { return this->store.is_latest_configuration(); });
         this->store.start();
@@ -169,6 +173,19 @@
         hooks.log = [this](const observe::decision& event) {
             this->write(event);
         };
+        hooks.rollouts.version_rule_set = [this](const service_id& service,
+                                                 const balance::version_rule& rule) {
+            this->gateway.decisions().set_version_rule(service, rule);
+        };
+        hooks.rollouts.version_rule_removed = [this](const service_id& service) {
+            this->gateway.decisions().remove_version_rule(service);
+        };
+        hooks.rollouts.count_versions = [this](const service_id& service,
+                                               const std::string& target) {
+            const auto counted = this->gateway.decisions().count_versions(service, target);
+            return rollout::service_counts{counted.target, counted.other};
+        };
+        hooks.rollouts.log = hooks.log;
         return hooks;
     }
 
@@ -284,6 +301,7 @@
         }
         this->settings = std::get<settings::gateway_settings>(loaded);
         this->gateway.decisions().set_bounds(this->make_settings().bounds);
+        this->store.set_bounds(this->settings);
         this->write({"reload", {{"why", why}, {"file", this->settings_file}}});
     }
 
--- a/src/azureshore/daemon/internal/gateway_store.cpp
+++ b/src/azureshore/daemon/internal/gateway_store.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-// How often lapsed registrations are looked at.
+// How often lapsed registrations and roll-outs are looked at.
 constexpr duration tick_interval = std::chrono::milliseconds(250);
 
 // Limits the length of a log line: the cause may quote the record.
@@ -36,6 +36,15 @@
                                           .count());
 }
 
+duration longest_timeout(const balance::traffic_configuration& configuration)
+{
+    duration longest{};
+    for (const auto& each : configuration.routes) {
+        longest = std::max(longest, each.timeout);
+    }
+    return longest;
+}
+
 } // namespace
 
 gateway_store::gateway_store(asio::io_context& context, const settings::gateway_settings& settings,
@@ -46,7 +55,8 @@
       socket(context, settings.peers, [this](std::string_view bytes) { this->received(bytes); }),
       sharing({settings.name, settings.peers, settings.data_centre, settings.apply_within,
                peers_of(settings), settings.first_start, start_time()},
-              this->shared_topics(), this->sharing_hooks())
+              this->shared_topics(), this->sharing_hooks()),
+      rollouts(settings, around, this->topics, this->sharing, this->hooks.rollouts)
 {
 }
 
@@ -101,10 +111,21 @@
         made.set("azureshore_topic_offset", labels, static_cast<double>(next.offset));
         made.set("azureshore_topic_epoch", labels, static_cast<double>(next.epoch));
     }
+    this->rollouts.write_metrics(made);
     made.add("azureshore_dropped_records_total", {}, this->sharing.dropped_record_count());
     return made.to_text();
 }
 
+void gateway_store::set_bounds(const settings::gateway_settings& settings)
+{
+    this->rollouts.set_settings(settings);
+}
+
+void gateway_store::observe(const balance::attempt_observation& observed)
+{
+    this->rollouts.observe(observed);
+}
+
 bool gateway_store::is_latest_configuration() const
 {
     return this->sharing.is_current(wire::shared_topic::operators);
@@ -173,6 +194,12 @@
     made.members_changed = [this] {
         this->members_changed();
     };
+    made.rollouts_reported = [this](const wire::rollout_report& report) {
+        this->rollouts.take_report(report);
+    };
+    made.rollouts_noticed = [this](const wire::rollout_notice& notice) {
+        this->rollouts.take_notice(notice);
+    };
     made.request_rate = this->hooks.request_rate;
     made.decided = this->hooks.log;
     made.random = system_random();
@@ -249,6 +276,7 @@
                                          const std::vector<wire::earlier_record>& earlier)
 {
     std::set<std::string> outdated;
+    std::set<service_id> ordered;
     this->out_of_service.clear();
     for (const auto& [data_centre, until] : this->unconfirmed) {
         this->out_of_service.insert(data_centre);
@@ -262,8 +290,14 @@
         if (this->is_outdated(read)) {
             outdated.insert(each.key);
         }
+        if (const auto* order = read.ok() ? std::get_if<rollout_order_record>(&*read) : nullptr) {
+            ordered.insert(order->service);
+            this->rollouts.take_order(*order, true);
+            continue;
+        }
         this->take_operator_record(each, std::move(read));
     }
+    this->rollouts.keep_orders(ordered);
     this->hooks.out_of_service(this->out_of_service);
     return outdated;
 }
@@ -316,25 +350,6 @@
     return true;
 }
 
-bool gateway_store::take_earlier_registration(const wire::earlier_record& earlier)
-{
-    if (!earlier.record.value) {
-        return this->take_earlier_removal(earlier.record);
-    }
-    const auto read = this->platform.read_registration(
-        {earlier.record.offset, earlier.record.key, earlier.record.value});
-    return read.ok() && this->registry.apply_earlier_registration(*read);
-}
-
-// Without the registration that was removed, a removal can't be distinguished from that of an
-// earlier run.
-bool gateway_store::take_earlier_removal(const wire::shared_record& removal)
-{
-    const auto last =
-        this->platform.read_registration({removal.offset, removal.key, removal.dropped_value});
-    return last.ok() && this->registry.apply_earlier_removal(*last);
-}
-
 void gateway_store::keep_unconfirmed(const data_centre_id& name, duration valid_for)
 {
     this->unconfirmed.insert_or_assign(name, steady_now() + valid_for);
@@ -354,12 +369,16 @@
                           {"offset", std::to_string(record.offset)},
                           {"bytes", std::to_string(record.value->size())}}});
         this->version = std::max(this->version.value_or(0), next->version);
+        this->rollouts.set_longest_request(longest_timeout(*next));
         this->hooks.configured(
             std::make_shared<const balance::traffic_configuration>(std::move(*next)));
     }
     else if (const auto* change = std::get_if<data_centre_service>(&*read)) {
         this->set_in_service(*change);
     }
+    else if (const auto* order = std::get_if<rollout_order_record>(&*read)) {
+        this->rollouts.take_order(*order, false);
+    }
 }
 
 void gateway_store::set_in_service(const data_centre_service& change)
@@ -377,93 +396,6 @@
     this->hooks.out_of_service(this->out_of_service);
 }
 
-void gateway_store::take_all_registrations(const std::vector<platform::keyed_record>& records,
-                                           const std::vector<wire::earlier_record>& earlier)
-{
-    // Newer records replace those of the list before it is applied: otherwise, waiting requests
-    // could be sent to a backend server because of its older state.
-    std::map<std::string, platform::keyed_record> newest;
-    for (const auto& each : records) {
-        newest[each.key] = each;
-    }
-    for (const auto& each : earlier) {
-        const auto listed = newest.find(each.record.key);
-        if (!each.record.value) {
-            this->take_earlier_removal(each.record);
-            if (listed != newest.end()) {
-                const auto read = this->platform.read_registration(listed->second);
-                if (read.ok() && this->registry.was_removed_since(*read)) {
-                    newest.erase(listed);
-                }
-            }
-        }
-        else if (listed != newest.end()) {
-            listed->second.value = each.record.value;
-        }
-    }
-    std::vector<platform::keyed_record> merged;
-    merged.reserve(newest.size());
-    for (auto& [key, each] : newest) {
-        merged.push_back(std::move(each));
-    }
-    const auto all = this->read_registrations(merged);
-    this->take_list([&] { this->registry.apply_full_list(steady_now(), all); });
-}
-
-std::set<std::string>
-gateway_store::merge_registrations(const std::vector<platform::keyed_record>& records)
-{
-    const auto all = this->read_registrations(records);
-    std::set<std::string> outdated;
-    this->take_list([&] {
-        for (const auto& each : this->registry.merge_restored_list(steady_now(), all)) {
-            outdated.insert(each.value);
-        }
-    });
-    return outdated;
-}
-
-std::vector<balance::registration>
-gateway_store::read_registrations(const std::vector<platform::keyed_record>& records)
-{
-    std::vector<balance::registration> all;
-    for (const auto& each : records) {
-        const auto read = this->platform.read_registration(each);
-        if (read.ok()) {
-            all.push_back(*read);
-        }
-        else if (each.value) {
-            this->log_unreadable(each, read.status());
-        }
-    }
-    return all;
-}
-
-void gateway_store::take_list(const std::function<void()>& change)
-{
-    this->listing = true;
-    change();
-    this->listing = false;
-    this->hooks.log({"backends_listed", {{"count", std::to_string(this->registry.size())}}});
-    this->hooks.backends_listed();
-}
-
-sharing::record_effect gateway_store::take_registration(const platform::keyed_record& record)
-{
-    const auto effect = [](bool is_news) {
-        return is_news ? sharing::record_effect::changed : sharing::record_effect::unchanged;
-    };
-    if (!record.value) {
-        return effect(this->registry.apply_removal(steady_now(), backend_id{record.key}));
-    }
-    const auto read = this->platform.read_registration(record);
-    if (!read.ok()) {
-        this->log_unreadable(record, read.status());
-        return sharing::record_effect::unusable;
-    }
-    return effect(this->registry.apply_registration(*read));
-}
-
 void gateway_store::log_unreadable(const platform::keyed_record& record, const absl::Status& why)
 {
     this->hooks.log({"record_unreadable",
@@ -486,6 +418,7 @@
 {
     this->registry.tick(steady_now());
     this->end_unconfirmed(steady_now());
+    this->rollouts.tick();
     this->timer.expires_after(tick_interval);
     this->timer.async_wait([this](const asio::error_code& error) {
         if (!error) {
--- a/src/azureshore/daemon/internal/gateway_store.hpp
+++ b/src/azureshore/daemon/internal/gateway_store.hpp
@@ -2,6 +2,7 @@
 
 #include "azureshore/balance/backend_registry.hpp"
 #include "azureshore/daemon/gateway_platform.hpp"
+#include "azureshore/daemon/internal/gateway_rollouts.hpp"
 #include "azureshore/daemon/internal/peer_socket.hpp"
 #include "azureshore/observe/decision.hpp"
 #include "azureshore/settings/gateway_settings.hpp"
@@ -26,6 +27,7 @@
     std::function<void(std::uint64_t fingerprint)> suspected;
     std::function<double()> request_rate;
     std::function<void(const observe::decision&)> log;
+    gateway_rollouts_hooks rollouts;
 };
 
 // What a daemon knows from the platform's store and from the other daemons: the configuration in
@@ -42,6 +44,12 @@
 
     void tell_suspicion(std::uint64_t fingerprint);
 
+    // Puts other bounds in force.
+    void set_bounds(const settings::gateway_settings& settings);
+
+    // Takes how an attempt of this daemon ended.
+    void observe(const balance::attempt_observation& observed);
+
     // Requests a second that all daemons get together; zero if unknown.
     [[nodiscard]] double total_request_rate() const;
 
@@ -110,6 +118,7 @@
     bool listing = false;
     peer_socket socket;
     sharing::store_sharing sharing;
+    gateway_rollouts rollouts;
 };
 
 } // namespace azureshore::daemon::detail
--- a/src/azureshore/settings/gateway_settings.cpp
+++ b/src/azureshore/settings/gateway_settings.cpp
@@ -62,6 +62,17 @@
         {"bounds.probes_per_second", value_kind::fraction, false, "60", 0, most_sends,
          "Health checks a second that one backend server gets from all daemons.",
          to_fraction(target.probes_per_second)},
+        {"bounds.exposure_share", value_kind::fraction, false, "0.1", 0, 1,
+         "Largest share of a service's requests that a version gets in a roll-out that is not "
+         "decided.",
+         to_fraction(target.exposure_share)},
+        {"bounds.exposure_slack", value_kind::fraction, false, "50", 0, most_sends,
+         "Requests of all daemons to that version beyond the share, which cover what daemons send "
+         "before they know of the roll-out.",
+         to_fraction(target.exposure_slack)},
+        {"bounds.rollback_within", value_kind::milliseconds, false, "5000", 100, hour_ms,
+         "A version whose responses are bad gets no requests after this time.",
+         to_duration(target.rollback_within)},
         {"logs.lines_per_second", value_kind::whole_number, false, "100", 0, most_lines,
          "Most log lines a second; more are counted and dropped.",
          to_size(target.log_lines_per_second)},
--- a/src/azureshore/settings/gateway_settings.hpp
+++ b/src/azureshore/settings/gateway_settings.hpp
@@ -46,6 +46,12 @@
     // Health checks a second that one backend server gets from all daemons, on average.
     double probes_per_second = 60;
 
+    // Largest share of a service's requests that a version gets in a roll-out that is not decided,
+    // the requests of all daemons beyond it, and the time in which a bad version is rolled back.
+    double exposure_share = 0.1;
+    double exposure_slack = 50;
+    duration rollback_within = std::chrono::seconds(5);
+
     std::size_t log_lines_per_second = 100;
 };
 
--- a/tests/documentation/documentation_tests.cpp
+++ b/tests/documentation/documentation_tests.cpp
@@ -39,7 +39,7 @@
 std::string gateway_sources()
 {
     std::string text;
-    for (const auto* folder : {"balance", "gateway", "sharing"}) {
+    for (const auto* folder : {"balance", "gateway", "sharing", "rollout"}) {
         for (const auto& each :
              std::filesystem::recursive_directory_iterator(root / "src/azureshore" / folder)) {
             if (each.path().extension() == ".cpp") {
@@ -47,8 +47,9 @@
             }
         }
     }
-    for (const auto* file : {"daemon/gateway_daemon.cpp", "daemon/internal/gateway_store.cpp",
-                             "observe/event_log.cpp"}) {
+    for (const auto* file :
+         {"daemon/gateway_daemon.cpp", "daemon/internal/gateway_store.cpp",
+          "daemon/internal/gateway_registrations.cpp", "observe/event_log.cpp"}) {
         text += read(root / "src/azureshore" / file);
     }
     return text;
--- a/tests/users_platform/decode_tests.cpp
+++ b/tests/users_platform/decode_tests.cpp
@@ -266,4 +266,67 @@
     BOOST_TEST(!users_platform::read_newest("").has_value());
 }
 
+BOOST_AUTO_TEST_CASE(an_order_of_a_roll_out_is_read)
+{
+    const auto read = users_platform::read_operator_record(
+        record("rollout/s1", R"({"service":"s1","target_version":"v2","duration_s":30.5})"));
+    BOOST_REQUIRE(read.ok());
+    const auto& order = std::get<daemon::rollout_order_record>(*read);
+    BOOST_TEST(order.service.value == "s1");
+    BOOST_TEST(order.target_version == "v2");
+    BOOST_TEST((order.time_limit == 30500ms));
+    BOOST_TEST(!order.withdrawn);
+    const auto withdrawn = users_platform::read_operator_record(record("rollout/s1", std::nullopt));
+    BOOST_REQUIRE(withdrawn.ok());
+    BOOST_TEST(std::get<daemon::rollout_order_record>(*withdrawn).withdrawn);
+}
+
+// Guards against a roll-out without a deadline, and against one of a service that nobody named.
+BOOST_AUTO_TEST_CASE(an_order_that_makes_no_sense_is_rejected)
+{
+    for (const std::string value :
+         {"", "null", "[]", "{", R"({"service":"s1","target_version":"v2"})",
+          R"({"service":"s1","target_version":"v2","duration_s":0})",
+          R"({"service":"s1","target_version":"v2","duration_s":-3})",
+          R"({"service":"s1","target_version":"v2","duration_s":1e300})",
+          R"({"service":"s1","target_version":"v2","duration_s":"30"})",
+          R"({"service":"s1","target_version":"","duration_s":30})",
+          R"({"service":"s1","target_version":7,"duration_s":30})",
+          R"({"service":"s2","target_version":"v2","duration_s":30})",
+          R"({"target_version":"v2","duration_s":30})"}) {
+        BOOST_TEST(!users_platform::read_operator_record(record("rollout/s1", value)).ok(), value);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(the_state_of_a_roll_out_is_read_as_it_was_written)
+{
+    for (const auto state : {rollout::decided_state::running, rollout::decided_state::completed,
+                             rollout::decided_state::rolled_back}) {
+        const daemon::rollout_status_record status{service_id{"s1"}, "v2", state};
+        const auto [key, value] = users_platform::write_rollout_status(status);
+        BOOST_TEST(key == "rollout/s1");
+        const auto read = users_platform::read_rollout_status(record(key, value));
+        BOOST_REQUIRE(read.ok());
+        BOOST_TEST((*read == status));
+    }
+    const auto [key, value] = users_platform::write_rollout_status(
+        {service_id{"s1"}, "v2", rollout::decided_state::rolled_back});
+    BOOST_TEST(value == R"({"state":"rolled_back","target_version":"v2"})");
+}
+
+// Guards against a registration that is lost because it bears no version, or one of another kind.
+BOOST_AUTO_TEST_CASE(a_registration_may_lack_its_version)
+{
+    const std::string bears = R"("version":"v1",)";
+    const auto read = users_platform::read_registration(record("b", server));
+    BOOST_REQUIRE(read.ok());
+    BOOST_TEST(read->version == "v1");
+    for (const std::string other : {"", R"("version":3,)"}) {
+        const auto without_version =
+            users_platform::read_registration(record("b", without(server, bears, other)));
+        BOOST_REQUIRE(without_version.ok());
+        BOOST_TEST(without_version->version.empty());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/users_platform/store_calls_tests.cpp
+++ b/tests/users_platform/store_calls_tests.cpp
@@ -68,6 +68,17 @@
         return *done;
     }
 
+    daemon::append_outcome append_at(const std::string& topic, const std::string& key,
+                                     const std::string& value, std::uint64_t at)
+    {
+        std::optional<daemon::append_outcome> outcome;
+        users_platform::append_keyed_at(
+            this->http, this->where, timeout, topic, key, value, at,
+            [&outcome](daemon::append_outcome result) { outcome = result; });
+        this->wait_for(outcome);
+        return *outcome;
+    }
+
     standin::delays timers;
     standin::keyed_store store;
     // What happens between the adapter and the store; set between two calls.
@@ -307,4 +318,18 @@
     BOOST_TEST(read.epoch == 0U);
 }
 
+// Guards against a second daemon that overwrites what the first one decided.
+BOOST_AUTO_TEST_CASE(a_record_is_appended_only_at_the_end_that_its_writer_knows)
+{
+    running_store store;
+    const auto write = [&store](std::uint64_t at) {
+        return store.append_at("keyed.status", "key", "value", at);
+    };
+    BOOST_TEST((write(0) == daemon::append_outcome::written));
+    BOOST_TEST((write(0) == daemon::append_outcome::conflict));
+    const auto listed = store.list(store.topic("keyed.status"));
+    BOOST_REQUIRE(listed.ok);
+    BOOST_TEST((write(listed.next_offset) == daemon::append_outcome::written));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
