Test roll-outs on gateways as processes

Three gateways, the store's stand-in and four backend servers of two versions: a good version is completed and the old servers get no further requests; one that fails half of its requests is rolled back and gets none.

--- a/tests/deployment/local_backend.cpp
+++ b/tests/deployment/local_backend.cpp
@@ -63,16 +63,18 @@
         return std::nullopt;
     }
     const auto cold = std::max(duration::zero(), duration(this->cold_until - steady_now()));
-    return nlohmann::json{
-        {"address", to_string(this->proxy.where())},
-        {"born", this->born_ms},
-        {"info",
-         {{"service", "plates"}, {"version", "v1"}, {"zone", this->zone}, {"slots", this->slots}}},
-        {"status",
-         {{"state", this->draining ? "draining" : "ready"},
-          {"sequence", ++this->sequence},
-          {"cold_remaining_ms",
-           std::chrono::duration_cast<std::chrono::milliseconds>(cold).count()}}}}
+    return nlohmann::json{{"address", to_string(this->proxy.where())},
+                          {"born", this->born_ms},
+                          {"info",
+                           {{"service", "plates"},
+                            {"version", this->version},
+                            {"zone", this->zone},
+                            {"slots", this->slots}}},
+                          {"status",
+                           {{"state", this->draining ? "draining" : "ready"},
+                            {"sequence", ++this->sequence},
+                            {"cold_remaining_ms",
+                             std::chrono::duration_cast<std::chrono::milliseconds>(cold).count()}}}}
         .dump();
 }
 
@@ -140,6 +142,18 @@
     this->hanging = on;
 }
 
+void local_backend::set_version(const std::string& next)
+{
+    const std::lock_guard hold(this->lock);
+    this->version = next;
+}
+
+void local_backend::fail(double share)
+{
+    const std::lock_guard hold(this->lock);
+    this->failing_share = share;
+}
+
 std::string local_backend::load() const
 {
     return std::to_string(this->running) + ',' + std::to_string(this->waiting.size()) + ',' +
@@ -240,6 +254,11 @@
                               {"X-Server-Signature", "signed"},
                               {"X-Backend-Load", this->load()}};
             answer.body = request + " ran at " + this->instance;
+            this->failures_due += this->failing_share;
+            if (this->failures_due >= 1) {
+                this->failures_due -= 1;
+                answer.status = 500;
+            }
             if (!this->waiting.empty()) {
                 const auto next = this->waiting.front();
                 this->waiting.pop_front();
--- a/tests/deployment/local_backend.hpp
+++ b/tests/deployment/local_backend.hpp
@@ -40,6 +40,10 @@
     void drain();
     // Writes nothing more to the store, and goes on serving.
     void stop_registering();
+    // Runs this version of the program from now on.
+    void set_version(const std::string& next);
+    // Answers that share of what it runs with status 500.
+    void fail(double share);
     // Answers nothing that it runs from now on, or answers again.
     void hang(bool on);
 
@@ -82,6 +86,9 @@
     bool link_passes = true;
     time_point link_changed_at{};
     bool hanging = false;
+    std::string version = "v1";
+    double failing_share = 0;
+    double failures_due = 0;
     unsigned running = 0;
     std::deque<waiting_call> waiting;
     std::deque<time_point> arrivals;
--- a/tests/deployment/local_deployment.cpp
+++ b/tests/deployment/local_deployment.cpp
@@ -187,6 +187,14 @@
                                  out ? std::optional<std::string>("{}") : std::nullopt);
 }
 
+void local_deployment::order_rollout(const std::string& target, std::chrono::seconds time_limit)
+{
+    this->write_operators_record(
+        "rollout/plates",
+        json{{"service", "plates"}, {"target_version", target}, {"duration_s", time_limit.count()}}
+            .dump());
+}
+
 void local_deployment::write_operators_record(const std::string& key,
                                               const std::optional<std::string>& value)
 {
--- a/tests/deployment/local_deployment.hpp
+++ b/tests/deployment/local_deployment.hpp
@@ -73,6 +73,9 @@
     // Takes a data centre out of service, or back.
     void set_out_of_service(const std::string& data_centre, bool out);
 
+    // Orders to move all requests to servers of a version.
+    void order_rollout(const std::string& target, std::chrono::seconds time_limit);
+
     // Registers every living backend server again, as each does by itself all the time.
     void heartbeat();
 
