--- a/src/azureshore/balance/internal/waiting.cpp
+++ b/src/azureshore/balance/internal/waiting.cpp
@@ -61,6 +61,7 @@
 
 void dispatcher::state::enqueue_or_refuse(in_flight_request& request)
 {
+    this->end_exposure(request);
     const auto now = this->now();
     auto& target = this->service(request.service);
     if (this->backends.count_in_service(request.service) == 0) {
--- a/src/azureshore/daemon/gateway_daemon.cpp
+++ b/src/azureshore/daemon/gateway_daemon.cpp
@@ -114,6 +114,10 @@
                       {"callers", to_string(this->settings.callers)},
                       {"store", to_string(this->settings.store)}}});
         this->share_bounds();
+        this->gateway.decisions().set_observer(
+            [this](const balance::attempt_observation& observed) {
+                this->store.observe(observed);
+            });
         this->gateway.decisions().set_configuration_check(
             [this] { return this->store.is_latest_configuration(); });
         this->gateway.decisions().set_quota_source(
@@ -122,7 +126,7 @@
                 this->quotas.take(account, std::move(done));
             },
             [this](const account_id& account, time_point granted_at) {
-                this->quotas.keeper().give_back(account, granted_at);
+                this->quotas.give_back(account, granted_at);
             });
         this->store.start();
         this->executor.run();
@@ -187,6 +191,19 @@
         hooks.log = [this](const observe::decision& event) {
             this->write(event);
         };
+        hooks.rollouts.version_rule_set = [this](const service_id& service,
+                                                 const balance::version_rule& rule) {
+            this->gateway.decisions().set_version_rule(service, rule);
+        };
+        hooks.rollouts.version_rule_removed = [this](const service_id& service) {
+            this->gateway.decisions().remove_version_rule(service);
+        };
+        hooks.rollouts.count_versions = [this](const service_id& service,
+                                               const std::string& target) {
+            const auto counted = this->gateway.decisions().count_versions(service, target);
+            return rollout::service_counts{counted.target, counted.other};
+        };
+        hooks.rollouts.log = hooks.log;
         return hooks;
     }
 
@@ -311,6 +328,7 @@
         this->settings = std::get<settings::gateway_settings>(loaded);
         this->gateway.decisions().set_bounds(this->make_settings().bounds);
         this->quotas.set_bounds(this->settings);
+        this->store.set_bounds(this->settings);
         this->write({"reload", {{"why", why}, {"file", this->settings_file}}});
     }
 
--- a/src/azureshore/daemon/internal/account_quotas.cpp
+++ b/src/azureshore/daemon/internal/account_quotas.cpp
@@ -122,6 +122,11 @@
     this->kept.take(account, std::move(done));
 }
 
+void account_quotas::give_back(const account_id& account, time_point granted_at)
+{
+    this->kept.give_back(account, granted_at);
+}
+
 void account_quotas::receive(const wire::envelope& message)
 {
     this->contact.heard(steady_now());
--- a/src/azureshore/daemon/internal/account_quotas.hpp
+++ b/src/azureshore/daemon/internal/account_quotas.hpp
@@ -34,6 +34,9 @@
 
     void take(const account_id& account, std::function<void(const balance::quota_answer&)> done);
 
+    // Returns what was granted at a time for a request that was not sent.
+    void give_back(const account_id& account, time_point granted_at);
+
     // Takes any message of another daemon.
     void receive(const wire::envelope& message);
 
--- a/src/azureshore/daemon/internal/gateway_store.hpp
+++ b/src/azureshore/daemon/internal/gateway_store.hpp
@@ -2,6 +2,7 @@
 
 #include "azureshore/balance/backend_registry.hpp"
 #include "azureshore/daemon/gateway_platform.hpp"
+#include "azureshore/daemon/internal/gateway_rollouts.hpp"
 #include "azureshore/daemon/internal/peer_socket.hpp"
 #include "azureshore/observe/decision.hpp"
 #include "azureshore/settings/gateway_settings.hpp"
@@ -28,6 +29,7 @@
     // Called with each message of another daemon.
     std::function<void(const wire::envelope&)> received;
     std::function<void(const observe::decision&)> log;
+    gateway_rollouts_hooks rollouts;
 };
 
 // What a daemon knows from the platform's store and from the other daemons: the configuration in
@@ -46,6 +48,11 @@
 
     // Sends a message to another daemon, unless it is not known. The message may be lost.
     void send(const vm_id& to, const wire::message& body);
+    // Puts other bounds in force.
+    void set_bounds(const settings::gateway_settings& settings);
+
+    // Takes how an attempt of this daemon ended.
+    void observe(const balance::attempt_observation& observed);
 
     // Requests a second that all daemons get together; zero if unknown.
     [[nodiscard]] double total_request_rate() const;
@@ -118,6 +125,7 @@
     bool listing = false;
     peer_socket socket;
     sharing::store_sharing sharing;
+    gateway_rollouts rollouts;
 };
 
 } // namespace azureshore::daemon::detail
--- a/src/azureshore/daemon/internal/gateway_store_hooks.cpp
+++ b/src/azureshore/daemon/internal/gateway_store_hooks.cpp
@@ -82,6 +82,12 @@
     made.members_changed = [this] {
         this->members_changed();
     };
+    made.rollouts_reported = [this](const wire::rollout_report& report) {
+        this->rollouts.take_report(report);
+    };
+    made.rollouts_noticed = [this](const wire::rollout_notice& notice) {
+        this->rollouts.take_notice(notice);
+    };
     made.request_rate = this->hooks.request_rate;
     made.decided = this->hooks.log;
     made.random = system_random();
--- a/src/azureshore/settings/gateway_settings.hpp
+++ b/src/azureshore/settings/gateway_settings.hpp
@@ -51,6 +51,11 @@
     duration quota_window = std::chrono::seconds(5);
     double quota_overshoot = 0.1;
     double quota_slack = 20;
+    // Largest share of a service's requests that a version gets in a roll-out that is not decided,
+    // the requests of all daemons beyond it, and the time in which a bad version is rolled back.
+    double exposure_share = 0.1;
+    double exposure_slack = 50;
+    duration rollback_within = std::chrono::seconds(5);
 
     std::size_t log_lines_per_second = 100;
 };
--- a/src/azureshore/wire/message.hpp
+++ b/src/azureshore/wire/message.hpp
@@ -6,6 +6,7 @@
 #include "azureshore/wire/outcome_messages.hpp"
 #include "azureshore/wire/permit_messages.hpp"
 #include "azureshore/wire/quota_messages.hpp"
+#include "azureshore/wire/rollout_messages.hpp"
 #include "azureshore/wire/sharing_messages.hpp"
 
 #include <absl/status/statusor.h>
@@ -25,8 +26,8 @@
                  permit_return, permit_report, configuration_records, configuration_pull, suspicion,
                  configuration_state, configuration_notice, permit_queued, leader_claim, run_group,
                  topic_news, member_hello, member_changes, crash_suspicion, topic_snapshot,
-                 member_digests, topics_pull, topic_update, pull_redirect, quota_query,
-                 quota_reply>;
+                 member_digests, topics_pull, topic_update, pull_redirect, quota_query, quota_reply,
+                 rollout_report, rollout_notice>;
 
 // A message with its sender.
 struct envelope {
--- a/tests/wire/message_tests.cpp
+++ b/tests/wire/message_tests.cpp
@@ -108,7 +108,10 @@
                          {{5, "plate-1", std::nullopt}, {6, "plate-2", "ready"}}},
             pull_redirect{{leaving_member}, 3, 12},
             quota_query{{{{"harbour"}, 7, 1, 2}}},
-            quota_reply{{{{"harbour"}, 7, 1, std::chrono::milliseconds(20), true}}}};
+            quota_reply{{{{"harbour"}, 7, 1, std::chrono::milliseconds(20), true}}},
+            rollout_report{{{{"plates"}, "v2", {{7, {3, 1, {0, 2}}, {40, 0, {30, 9, 1}}}}}}},
+            rollout_notice{
+                {{{"plates"}, "v2", rollout_phase::moving, false, std::chrono::seconds(9)}}, 81}};
 }
 
 std::string bytes_of_any_length(const random_source& random, std::size_t limit)
@@ -201,7 +204,7 @@
         "member_hello",        "member_changes",        "crash_suspicion",
         "topic_snapshot",      "member_digests",        "topics_pull",
         "topic_update",        "pull_redirect",         "quota_query",
-        "quota_reply"};
+        "quota_reply",         "rollout_report",        "rollout_notice"};
     for (const auto& body : one_of_each()) {
         BOOST_TEST_CONTEXT(name_of(body))
         {
