Judge a version whose servers stay cold by its failures

Response times of cold servers are no evidence, so a good version with few requests and a long cold start had too little evidence at its deadline and would be rolled back. At the last moment its responses are counted whether their times are known or not.

--- a/src/azureshore/rollout/comparison.cpp
+++ b/src/azureshore/rollout/comparison.cpp
@@ -96,6 +96,7 @@
     cumulative_sum failures;
     cumulative_sum slow;
     std::uint64_t judged = 0;
+    std::uint64_t counted = 0;
     std::uint64_t other_responses = 0;
 };
 
@@ -227,6 +228,7 @@
             auto& route = this->routes[each.route];
             route.others.add(each.other);
             route.other_responses += each.other.responses;
+            route.counted += each.target.responses;
             route.judged += static_cast<std::uint64_t>(count_from(each.target.times, 0));
             const auto observed = static_cast<double>(each.target.responses);
             const auto failed = static_cast<double>(each.target.failures);
@@ -255,6 +257,23 @@
         this->note_findings();
     }
 
+    [[nodiscard]] bool has_enough(std::uint64_t route_state::*counter, std::uint64_t on_each_route,
+                                  std::uint64_t together) const
+    {
+        std::uint64_t sum = 0;
+        std::uint64_t others = 0;
+        for (const auto& [name, route] : this->routes) {
+            sum += route.*counter;
+            others += route.other_responses;
+        }
+        return sum >= together &&
+               std::all_of(this->routes.begin(), this->routes.end(), [&](const auto& each) {
+                   const auto weight = static_cast<double>(each.second.other_responses);
+                   return weight < min_route_share * static_cast<double>(others) ||
+                          each.second.*counter >= on_each_route;
+               });
+    }
+
     void note_findings()
     {
         if (this->first_finding) {
@@ -301,19 +320,12 @@
 
 bool comparison::has_judged(std::uint64_t on_each_route, std::uint64_t together) const
 {
-    std::uint64_t judged = 0;
-    std::uint64_t others = 0;
-    for (const auto& [name, route] : this->inner->routes) {
-        judged += route.judged;
-        others += route.other_responses;
-    }
-    return judged >= together &&
-           std::all_of(this->inner->routes.begin(), this->inner->routes.end(),
-                       [&](const auto& each) {
-                           const auto weight = static_cast<double>(each.second.other_responses);
-                           return weight < min_route_share * static_cast<double>(others) ||
-                                  each.second.judged >= on_each_route;
-                       });
+    return this->inner->has_enough(&route_state::judged, on_each_route, together);
+}
+
+bool comparison::has_counted(std::uint64_t on_each_route, std::uint64_t together) const
+{
+    return this->inner->has_enough(&route_state::counted, on_each_route, together);
 }
 
 } // namespace azureshore::rollout
--- a/src/azureshore/rollout/internal/choice.cpp
+++ b/src/azureshore/rollout/internal/choice.cpp
@@ -60,7 +60,8 @@
     if (evidence.is_suspicious()) {
         return {choice::roll_back, "suspicious"};
     }
-    if (evidence.has_judged(late_on_each_route, late_together)) {
+    // Of servers that are cold for long, failures are all that can be compared.
+    if (evidence.has_counted(late_on_each_route, late_together)) {
         return {choice::move, "as_good"};
     }
     return {choice::roll_back, "too_little_evidence"};
--- a/src/azureshore/rollout/rollout.hpp
+++ b/src/azureshore/rollout/rollout.hpp
@@ -77,6 +77,9 @@
     // Whether each route of some weight has had this many responses of the target version with
     // known times, and all together the other number.
     [[nodiscard]] bool has_judged(std::uint64_t on_each_route, std::uint64_t together) const;
+    // The same for all responses of the target version, also those of cold servers, whose times are
+    // not known.
+    [[nodiscard]] bool has_counted(std::uint64_t on_each_route, std::uint64_t together) const;
 
 private:
     struct state;
