Bound quotas when links between gateways are cut

An owner measures the share of all gateways known in the last ten minutes that answer its pings, and fills its buckets at that share; gateways that take an owner for gone don't answer it. New owners wait 5 s.

--- a/src/azureshore/daemon/gateway_daemon.cpp
+++ b/src/azureshore/daemon/gateway_daemon.cpp
@@ -168,7 +168,7 @@
             this->quotas.receive(message);
         };
         hooks.members_changed = [this](const sharing::members& known) {
-            this->quotas.members_changed(this->store.daemons());
+            this->quotas.members_changed(known);
             this->gateway.decisions().set_fleet(
                 known.serving_count(),
                 [&known](const backend_id& id) { return known.share_of(id.value, cold_sharers); });
--- a/src/azureshore/daemon/internal/account_quotas.cpp
+++ b/src/azureshore/daemon/internal/account_quotas.cpp
@@ -15,7 +15,6 @@
 
 // Daemons that keep the quota of one account: while one of them fails, the other one grants half.
 constexpr std::size_t owners_of_account = 2;
-constexpr duration contact_interval = std::chrono::milliseconds(250);
 // Changes of the daemons in contact by less than this share are not logged.
 constexpr double logged_contact_change = 0.1;
 
@@ -54,7 +53,7 @@
         });
     };
     made.send = this->hooks.send;
-    made.random = system_random();
+    made.random = this->random;
     return made;
 }
 
@@ -69,17 +68,23 @@
     this->log_owned();
 }
 
-void account_quotas::members_changed(const sharing::store_sharing& known)
+void account_quotas::members_changed(const sharing::members& daemons)
 {
     const auto now = steady_now();
     std::vector<vm_id> serving;
     std::vector<vm_id> leaving;
-    for (const auto& each : known.known_members().others()) {
+    for (const auto& each : daemons.others()) {
         (each.state == wire::member_state::leaving ? leaving : serving).push_back(each.name);
     }
-    this->contact.set_members(now, serving, leaving);
-    const bool first = std::exchange(this->daemons, &known) == nullptr;
+    this->contact.set_members(now, serving, daemons.gone(), leaving);
+    const bool first = std::exchange(this->known, &daemons) == nullptr;
     this->kept.set_owners([this](const account_id& account) { return this->owners_of(account); });
+    if (std::exchange(this->incarnation, daemons.self().incarnation) !=
+            daemons.self().incarnation &&
+        !first) {
+        this->kept.declared_gone();
+        this->hooks.log({"quotas_start_over", {{"why", "declared_gone"}}});
+    }
     this->log_owned();
     if (first) {
         this->watch_contact();
@@ -92,15 +97,18 @@
     if (this->has_other_seeds && !this->contact.knows_others()) {
         return {};
     }
-    return this->daemons->known_members().first_of("quota " + account.value, owners_of_account);
+    return this->known->first_of("quota " + account.value, owners_of_account);
 }
 
 void account_quotas::watch_contact()
 {
-    if (const auto report = this->daemons->contact()) {
-        this->contact.reported(report->daemons, report->heard_at);
+    const auto now = steady_now();
+    if (this->kept.owned_count() > 0) {
+        for (const auto& each : this->contact.next_pings(now, this->random)) {
+            this->hooks.send(each.to, wire::quota_ping{each.number, false});
+        }
     }
-    const auto share = this->contact.share(steady_now());
+    const auto share = this->contact.share(now);
     if (share != this->contact_share) {
         if (std::abs(share - this->contact_share) >= logged_contact_change) {
             this->hooks.log({"quota_contact", {{"share", std::to_string(share)}}});
@@ -108,7 +116,7 @@
         this->contact_share = share;
         this->kept.set_contact(share);
     }
-    this->contact_timer.expires_after(contact_interval);
+    this->contact_timer.expires_after(quota::contact_tracker::ping_interval);
     this->contact_timer.async_wait([this](const asio::error_code& error) {
         if (!error) {
             this->watch_contact();
@@ -124,7 +132,17 @@
 
 void account_quotas::receive(const wire::envelope& message)
 {
-    this->contact.heard(steady_now());
+    if (const auto* ping = std::get_if<wire::quota_ping>(&message.body)) {
+        if (ping->is_answer) {
+            this->contact.answered(steady_now(), ping->number);
+        }
+        else if (this->known != nullptr && this->known->contains(message.from)) {
+            // A daemon that others take for gone, though it is not, must find out that it is not an
+            // owner to them.
+            this->hooks.send(message.from, wire::quota_ping{ping->number, true});
+        }
+        return;
+    }
     this->kept.receive(message);
 }
 
--- a/src/azureshore/daemon/internal/account_quotas.hpp
+++ b/src/azureshore/daemon/internal/account_quotas.hpp
@@ -4,7 +4,7 @@
 #include "azureshore/quota/contact_tracker.hpp"
 #include "azureshore/quota/quota.hpp"
 #include "azureshore/settings/gateway_settings.hpp"
-#include "azureshore/sharing/store_sharing.hpp"
+#include "azureshore/sharing/members.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -29,8 +29,8 @@
     void set_bounds(const settings::gateway_settings& settings);
     void configure(const balance::traffic_configuration& configuration);
 
-    // Takes a change of the daemons. `daemons` must stay valid from then on.
-    void members_changed(const sharing::store_sharing& daemons);
+    // Takes a change of the daemons. `known` must stay valid from then on.
+    void members_changed(const sharing::members& known);
 
     void take(const account_id& account, std::function<void(const balance::quota_answer&)> done);
 
@@ -43,7 +43,8 @@
 private:
     quota::quota_hooks quota_hooks();
     void log_owned();
-    // Keeps what the keeper assumes of the daemons in contact up to date.
+    // Pings other daemons if this one owns quotas, and tells the keeper the share that is in
+    // contact.
     void watch_contact();
     [[nodiscard]] std::vector<vm_id> owners_of(const account_id& account) const;
 
@@ -51,7 +52,10 @@
     account_quota_hooks hooks;
     // Whether there are daemons besides this one, according to the settings.
     bool has_other_seeds = false;
-    const sharing::store_sharing* daemons = nullptr;
+    const sharing::members* known = nullptr;
+    random_source random = system_random();
+    // Grows when this daemon has contradicted that it is gone.
+    std::uint64_t incarnation = 0;
     quota::contact_tracker contact;
     double contact_share = 1;
     quota::quota_keeper kept;
--- a/src/azureshore/daemon/internal/gateway_store.hpp
+++ b/src/azureshore/daemon/internal/gateway_store.hpp
@@ -50,9 +50,6 @@
     // Requests a second that all daemons get together; zero if unknown.
     [[nodiscard]] double total_request_rate() const;
 
-    // The daemons that this one knows, and how many of them are in contact.
-    [[nodiscard]] const sharing::store_sharing& daemons() const { return this->sharing; }
-
     // This daemon's view of the store, in Prometheus' text format.
     [[nodiscard]] std::string metrics() const;
 
--- a/src/azureshore/quota/internal/owner.cpp
+++ b/src/azureshore/quota/internal/owner.cpp
@@ -101,12 +101,17 @@
 {
     if (this->ticked_at && now - *this->ticked_at > longest_gap) {
         ++this->pause_count;
-        for (auto& [account, each] : this->buckets) {
-            each.level = 0;
-            each.filled_at = now + settle_time;
-        }
+        this->start_over(now);
     }
     this->ticked_at = now;
 }
 
+void owner::start_over(time_point now)
+{
+    for (auto& [account, each] : this->buckets) {
+        each.level = 0;
+        each.filled_at = now + settle_time;
+    }
+}
+
 } // namespace azureshore::quota::detail
--- a/src/azureshore/quota/internal/owner.hpp
+++ b/src/azureshore/quota/internal/owner.hpp
@@ -9,7 +9,7 @@
 
 // How long a new owner of an account waits until its bucket starts to fill: daemons that hear of
 // the change later than others must not get tokens from the earlier owner meanwhile.
-inline constexpr duration settle_time = std::chrono::seconds(2);
+inline constexpr duration settle_time = std::chrono::seconds(5);
 
 // The quotas that this daemon owns.
 class owner {
@@ -23,6 +23,9 @@
     // Scales all buckets by the share of the daemons that this one is in contact with.
     void set_contact(time_point now, double share);
 
+    // Empties all buckets, which start to fill after the settle time.
+    void start_over(time_point now);
+
     // Answers an ask.
     wire::quota_grant answer(time_point now, const wire::quota_ask& ask);
 
--- a/src/azureshore/quota/quota.cpp
+++ b/src/azureshore/quota/quota.cpp
@@ -70,6 +70,8 @@
         this->own_all(now < this->settled_at ? this->settled_at : now + detail::settle_time);
     }
 
+    void declared_gone() { this->owned.start_over(this->hooks.clock()); }
+
     void set_contact(double share) { this->owned.set_contact(this->hooks.clock(), share); }
 
     void take(const account_id& account, detail::quota_done done)
@@ -222,6 +224,11 @@
     this->inner->set_owners(std::move(owners_of));
 }
 
+void quota_keeper::declared_gone()
+{
+    this->inner->declared_gone();
+}
+
 void quota_keeper::set_contact(double share)
 {
     this->inner->set_contact(share);
--- a/src/azureshore/quota/quota.hpp
+++ b/src/azureshore/quota/quota.hpp
@@ -75,6 +75,10 @@
     // if they aren't known yet. To be called after each change of the daemons.
     void set_owners(std::function<std::vector<vm_id>(const account_id&)> owners_of);
 
+    // To be called when other daemons have declared this one gone. They may have replaced it, so
+    // its buckets are emptied and start to fill after a while.
+    void declared_gone();
+
     // Sets the share, from 0 to 1, of all daemons of the deployment that this one is in contact
     // with. The buckets that it owns are filled at this share of their rate.
     void set_contact(double share);
--- a/src/azureshore/sharing/internal/membership.cpp
+++ b/src/azureshore/sharing/internal/membership.cpp
@@ -10,8 +10,6 @@
 
 // A daemon is declared gone when it has not answered this many news messages in a row.
 constexpr std::size_t max_missed_rounds = 4;
-// A daemon still counts as in contact when its answers to this many news messages are missing.
-constexpr std::size_t counted_missed_rounds = 2;
 // Changes of members are collected for this long before they are sent on.
 constexpr duration flush_delay = std::chrono::milliseconds(100);
 // Entries of gone daemons are kept for this long, so that a daemon that missed it does not bring
@@ -159,7 +157,7 @@
 void store_sharing::state::handle_hello(const wire::member_hello& hello)
 {
     this->introduce(hello.sender, true);
-    this->reports[hello.sender.name] = {0, hello.request_rate, hello.daemons};
+    this->reports[hello.sender.name] = {0, hello.request_rate};
 }
 
 // Tells the parent in the first tree that this daemon lives. A root's parent is the reader.
@@ -173,10 +171,8 @@
     if (recipient) {
         // The reader counts its own subtree itself.
         const double rate = reads ? 0 : this->subtree_request_rate();
-        const auto daemons = reads ? 0 : this->subtree_daemon_count();
-        this->send_to({*recipient},
-                      wire::member_hello{this->known_members.self(), this->known_members.digest(),
-                                         rate, daemons});
+        this->send_to({*recipient}, wire::member_hello{this->known_members.self(),
+                                                       this->known_members.digest(), rate});
     }
 }
 
@@ -214,17 +210,6 @@
     return sum;
 }
 
-// A daemon whose answers to the last rounds are missing is not counted, nor are those below it,
-// long before it is declared gone.
-std::uint64_t store_sharing::state::subtree_daemon_count() const
-{
-    std::uint64_t sum = 1;
-    for (const auto& [name, each] : this->reports) {
-        sum += each.missed_rounds <= counted_missed_rounds ? each.daemons : 0;
-    }
-    return sum;
-}
-
 // Prefers daemons of the own data centre, as messages between data centres cost more.
 std::vector<wire::member_entry> store_sharing::state::random_members(std::size_t count)
 {
--- a/src/azureshore/sharing/internal/messages.cpp
+++ b/src/azureshore/sharing/internal/messages.cpp
@@ -279,11 +279,9 @@
     if (topic.kind == wire::shared_topic::registrations) {
         this->count_missed_reports();
         this->total_request_rate = this->subtree_request_rate();
-        this->contact = {this->subtree_daemon_count(), this->now()};
         this->report_to_parent();
     }
     news.request_rate = this->total_request_rate;
-    news.daemons = this->contact ? this->contact->daemons : 0;
     for (auto& part : split_news(std::move(news))) {
         part.ends_round = part.next == topic.next;
         part.broadcast_id = this->hooks.random();
@@ -349,9 +347,6 @@
         this->known_members.rank_of(news.reader) <= this->known_members.rank_of(*this->reader);
     if (from_best_reader) {
         this->total_request_rate = news.request_rate;
-        if (news.daemons > 0) {
-            this->contact = {news.daemons, now};
-        }
         this->reader = news.reader;
         this->reader_heard_at = now;
     }
--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -24,7 +24,6 @@
     members known_members;
     bool members_listed = false;
     double total_request_rate = 0;
-    std::optional<contact_report> contact;
     std::uint64_t dropped_record_count = 0;
 
     // The records of one read in [first_offset, next_offset) that changed anything. They are sent
@@ -127,7 +126,6 @@
     struct child_report {
         std::size_t missed_rounds = 0;
         double request_rate = 0;
-        std::uint64_t daemons = 0;
     };
 
     [[nodiscard]] time_point now() const { return this->hooks.clock(); }
@@ -261,7 +259,6 @@
     void compare_views(std::uint64_t reader_digest);
     void compare_first_views(std::size_t comparisons_left);
     [[nodiscard]] double subtree_request_rate();
-    [[nodiscard]] std::uint64_t subtree_daemon_count() const;
     std::vector<wire::member_entry> random_members(std::size_t count);
     // Members of other data centres.
     std::vector<wire::member_entry> random_remote_members(std::size_t count);
--- a/src/azureshore/sharing/members.cpp
+++ b/src/azureshore/sharing/members.cpp
@@ -198,6 +198,17 @@
     return entries;
 }
 
+std::vector<vm_id> members::gone() const
+{
+    std::vector<vm_id> names;
+    for (const auto& [name, each] : this->known) {
+        if (each.entry.state == wire::member_state::gone) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 std::optional<wire::member_entry> members::find(const vm_id& name) const
 {
     const auto found = this->known.find(name);
--- a/src/azureshore/sharing/members.hpp
+++ b/src/azureshore/sharing/members.hpp
@@ -57,6 +57,8 @@
 
     // Returns the other daemons that are not gone.
     [[nodiscard]] std::vector<wire::member_entry> others() const;
+    // Returns the names of the daemons that were declared gone and are not forgotten yet.
+    [[nodiscard]] std::vector<vm_id> gone() const;
     [[nodiscard]] std::optional<wire::member_entry> find(const vm_id& name) const;
     // Returns the last entry of a daemon, also if it is gone.
     [[nodiscard]] std::optional<wire::member_entry> last_entry(const vm_id& name) const;
--- a/src/azureshore/sharing/store_sharing.cpp
+++ b/src/azureshore/sharing/store_sharing.cpp
@@ -301,11 +301,6 @@
     return this->inner->total_request_rate;
 }
 
-std::optional<contact_report> store_sharing::contact() const
-{
-    return this->inner->contact;
-}
-
 const members& store_sharing::known_members() const
 {
     return this->inner->known_members;
--- a/src/azureshore/sharing/store_sharing.hpp
+++ b/src/azureshore/sharing/store_sharing.hpp
@@ -9,7 +9,6 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -87,13 +86,6 @@
     random_source random;
 };
 
-// How many daemons, including the reader, have lately answered the news of the reader that this
-// daemon hears from, and when this daemon heard so.
-struct contact_report {
-    std::uint64_t daemons = 0;
-    time_point heard_at;
-};
-
 struct shared_topics {
     platform::keyed_topic operators;
     platform::keyed_topic registrations;
@@ -165,9 +157,6 @@
     // Returns the requests per second of all daemons that have reported theirs, or zero if unknown.
     [[nodiscard]] double total_request_rate() const;
 
-    // Returns the latest report of how many daemons are in contact, if there has been one.
-    [[nodiscard]] std::optional<contact_report> contact() const;
-
     [[nodiscard]] const members& known_members() const;
 
 private:
--- a/src/azureshore/wire/internal/fields.hpp
+++ b/src/azureshore/wire/internal/fields.hpp
@@ -74,8 +74,8 @@
 AZURESHORE_FIELDS(shared_record, m.offset, m.key, m.value, m.dropped_value);
 AZURESHORE_FIELDS(topic_news, m.reader, m.topic, m.from, m.next, m.records, m.operators_next,
                   m.members_digest, m.request_rate, m.ends_round, m.broadcast_id,
-                  m.operators_before, m.daemons);
-AZURESHORE_FIELDS(member_hello, m.sender, m.members_digest, m.request_rate, m.daemons);
+                  m.operators_before);
+AZURESHORE_FIELDS(member_hello, m.sender, m.members_digest, m.request_rate);
 AZURESHORE_FIELDS(earlier_record, m.record, m.valid_for);
 AZURESHORE_FIELDS(topic_snapshot, m.topic, m.next, m.age, m.part, m.parts, m.records, m.snapshot_id,
                   m.broadcast_id, m.earlier_records, m.before);
@@ -91,6 +91,7 @@
 AZURESHORE_FIELDS(quota_query, m.asks);
 AZURESHORE_FIELDS(quota_grant, m.account, m.ticket, m.granted, m.retry_after, m.owned);
 AZURESHORE_FIELDS(quota_reply, m.grants);
+AZURESHORE_FIELDS(quota_ping, m.number, m.is_answer);
 
 #undef AZURESHORE_FIELDS
 
--- a/src/azureshore/wire/message.cpp
+++ b/src/azureshore/wire/message.cpp
@@ -17,7 +17,7 @@
     "permit_queued",      "leader_claim",   "run_group",           "topic_news",
     "member_hello",       "member_changes", "crash_suspicion",     "topic_snapshot",
     "member_digests",     "topics_pull",    "topic_update",        "pull_redirect",
-    "quota_query",        "quota_reply"};
+    "quota_query",        "quota_reply",    "quota_ping"};
 
 constexpr std::uint32_t envelope_parts = 4;
 
--- a/src/azureshore/wire/message.hpp
+++ b/src/azureshore/wire/message.hpp
@@ -25,8 +25,8 @@
                  permit_return, permit_report, configuration_records, configuration_pull, suspicion,
                  configuration_state, configuration_notice, permit_queued, leader_claim, run_group,
                  topic_news, member_hello, member_changes, crash_suspicion, topic_snapshot,
-                 member_digests, topics_pull, topic_update, pull_redirect, quota_query,
-                 quota_reply>;
+                 member_digests, topics_pull, topic_update, pull_redirect, quota_query, quota_reply,
+                 quota_ping>;
 
 // A message with its sender.
 struct envelope {
--- a/src/azureshore/wire/quota_messages.hpp
+++ b/src/azureshore/wire/quota_messages.hpp
@@ -47,4 +47,13 @@
     bool operator==(const quota_reply&) const = default;
 };
 
+// Asks whether the sender and the receiver are in contact. The receiver sends it back as an answer,
+// unless it takes the sender for gone.
+struct quota_ping {
+    std::uint64_t number = 0;
+    bool is_answer = false;
+
+    bool operator==(const quota_ping&) const = default;
+};
+
 } // namespace azureshore::wire
--- a/src/azureshore/wire/sharing_messages.hpp
+++ b/src/azureshore/wire/sharing_messages.hpp
@@ -66,9 +66,6 @@
     std::uint64_t broadcast_id = 0;
     // How far the reader knew the operators' topic before the store was last restored.
     topic_position operators_before{};
-    // Daemons that have lately answered the reader's news, directly or through others, including
-    // the reader.
-    std::uint64_t daemons = 0;
 
     bool operator==(const topic_news&) const = default;
 };
@@ -127,8 +124,6 @@
     std::uint64_t members_digest = 0;
     // Requests a second that the sender and all daemons below it in the broadcast tree get.
     double request_rate = 0;
-    // The number of these daemons that have lately answered.
-    std::uint64_t daemons = 0;
 
     bool operator==(const member_hello&) const = default;
 };
--- a/tests/wire/message_tests.cpp
+++ b/tests/wire/message_tests.cpp
@@ -84,9 +84,8 @@
                        12.5,
                        false,
                        77,
-                       {1, 4},
-                       14},
-            member_hello{leaving_member, 9, 3.5, 5},
+                       {1, 4}},
+            member_hello{leaving_member, 9, 3.5},
             member_changes{{leaving_member}},
             crash_suspicion{7, 78},
             topic_snapshot{shared_topic::registrations,
@@ -108,7 +107,8 @@
                          {{5, "plate-1", std::nullopt}, {6, "plate-2", "ready"}}},
             pull_redirect{{leaving_member}, 3, 12},
             quota_query{{{{"harbour"}, 7, 1, 2}}},
-            quota_reply{{{{"harbour"}, 7, 1, std::chrono::milliseconds(20), true}}}};
+            quota_reply{{{{"harbour"}, 7, 1, std::chrono::milliseconds(20), true}}},
+            quota_ping{8, true}};
 }
 
 std::string bytes_of_any_length(const random_source& random, std::size_t limit)
@@ -195,13 +195,23 @@
 
 BOOST_AUTO_TEST_CASE(a_message_about_a_service_names_it)
 {
-    const std::set<std::string_view> of_no_service{
-        "heartbeat",           "configuration_records", "configuration_pull",
-        "configuration_state", "configuration_notice",  "topic_news",
-        "member_hello",        "member_changes",        "crash_suspicion",
-        "topic_snapshot",      "member_digests",        "topics_pull",
-        "topic_update",        "pull_redirect",         "quota_query",
-        "quota_reply"};
+    const std::set<std::string_view> of_no_service{"heartbeat",
+                                                   "configuration_records",
+                                                   "configuration_pull",
+                                                   "configuration_state",
+                                                   "configuration_notice",
+                                                   "topic_news",
+                                                   "member_hello",
+                                                   "member_changes",
+                                                   "crash_suspicion",
+                                                   "topic_snapshot",
+                                                   "member_digests",
+                                                   "topics_pull",
+                                                   "topic_update",
+                                                   "pull_redirect",
+                                                   "quota_query",
+                                                   "quota_reply",
+                                                   "quota_ping"};
     for (const auto& body : one_of_each()) {
         BOOST_TEST_CONTEXT(name_of(body))
         {
