--- a/src/azureshore/wire/message.hpp
+++ b/src/azureshore/wire/message.hpp
@@ -27,7 +27,7 @@
                  configuration_state, configuration_notice, permit_queued, leader_claim, run_group,
                  topic_news, member_hello, member_changes, crash_suspicion, topic_snapshot,
                  member_digests, topics_pull, topic_update, pull_redirect, quota_query, quota_reply,
-                 rollout_report, rollout_notice>;
+                 rollout_report, rollout_notice, quota_ping>;
 
 // A message with its sender.
 struct envelope {
