--- a/bench/balance/main.cpp
+++ b/bench/balance/main.cpp
@@ -185,8 +185,7 @@
         fmt::print("---|");
     }
     fmt::print("\n");
-    for (const double load : getenv("L") ? std::vector<double>{atof(getenv("L"))}
-                                         : std::vector<double>{0.7, 0.9, 1.1, 1.5, 2.5}) {
+    for (const double load : {0.7, 0.9, 1.1, 1.5, 2.5}) {
         run_result ideal;
         ideal.kinds = serve_ideally(deployment, load, span, seed);
         const double ideal_worth = worth(deployment, ideal.kinds);
@@ -202,8 +201,6 @@
 {
     const auto seed = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
     const auto span = std::chrono::seconds(argc > 2 ? std::strtoull(argv[2], nullptr, 10) : 15);
-    if (!getenv("ONLYS"))
-        compare(planning(), seed, span);
-    if (!getenv("ONLYP"))
-        compare(scooters(), seed, span);
+    compare(planning(), seed, span);
+    compare(scooters(), seed, span);
 }
--- a/src/azureshore/balance/internal/admission.cpp
+++ b/src/azureshore/balance/internal/admission.cpp
@@ -95,6 +95,9 @@
 detail::response_time_estimate&
 dispatcher::state::response_time_of(const in_flight_request& request)
 {
+    if (request.response_time != nullptr) {
+        return *request.response_time;
+    }
     return this->response_times
         .try_emplace(request.matched_route->name + '@' + request.service.value,
                      request.matched_route->target_latency)
@@ -148,6 +151,7 @@
     request.matched_route = matched;
     request.priority = matched->priority;
     request.service = this->service_selector.next(*matched, this->hooks.random);
+    request.response_time = &this->response_time_of(request);
     const auto caller_timeout = incoming.caller_timeout.value_or(default_caller_timeout);
     request.deadline = incoming.arrived + std::min(matched->timeout, caller_timeout);
     auto& target = this->service(request.service);
--- a/src/azureshore/balance/internal/dispatcher_state.hpp
+++ b/src/azureshore/balance/internal/dispatcher_state.hpp
@@ -61,6 +61,8 @@
     std::shared_ptr<const traffic_configuration> configuration;
     const route* matched_route = nullptr;
     service_id service;
+    // The estimate of its route and service.
+    detail::response_time_estimate* response_time = nullptr;
     // The client account, if the request has one.
     std::optional<account_id> account;
     // That of the account, or else that of the route. Zero is the most urgent.
--- a/src/azureshore/balance/internal/search.cpp
+++ b/src/azureshore/balance/internal/search.cpp
@@ -27,11 +27,11 @@
 constexpr double probe_rate_utilisation = 0.85;
 // Minimum probe rate of a daemon with few requests, as a fraction of an even share.
 constexpr double min_fraction_of_even_share = 0.2;
-// A queued request searches repeatedly, so each search makes only one probe. More of them would
-// use up the probe rate in the first moments of a wait.
-constexpr std::size_t max_probes_from_queue = 1;
+// A queued request searches repeatedly, so each search makes only a few probes.
+constexpr std::size_t max_probes_from_queue = 3;
 // Under a shortage, requests of which only a part is taken leave probes to the others.
 constexpr std::size_t max_probes_if_giving_way = 2;
+constexpr std::size_t max_probes_from_queue_if_giving_way = 1;
 
 // Returns the choice of a backend server by the load that it reported last.
 backend_choice reported_choice(const detail::backend_state& backend)
@@ -83,16 +83,17 @@
     auto& search = *request.search;
     auto& target = this->service(request.service);
     const bool gives_way = target.overload.taken_share(this->now(), request.kind) < 1;
-    const auto max_probes = search.from_queue ? max_probes_from_queue
-                            : gives_way       ? max_probes_if_giving_way
-                                              : acceptable_costs.size();
+    const auto max_probes =
+        search.from_queue
+            ? (gives_way ? max_probes_from_queue_if_giving_way : max_probes_from_queue)
+            : (gives_way ? max_probes_if_giving_way : acceptable_costs.size());
     if (search.probed.size() >= max_probes) {
         if (search.pending_probes == 0) {
             this->finish_search(request);
         }
         return;
     }
-    if (search.from_queue) {
+    if (search.from_queue || target.overload.waited_lately(this->now())) {
         this->backends.spread_cold_sends(this->now(), this->traits(request));
     }
     auto excluded = search.probed;
--- a/src/azureshore/balance/overload_policy.cpp
+++ b/src/azureshore/balance/overload_policy.cpp
@@ -14,7 +14,7 @@
 // The part of the time that a request can wait and still meet its target, to which the waits are
 // adjusted by taking fewer of the requests that are worth less for their work, and fewer of its own
 // kind.
-constexpr double wait_before_others = 0.05;
+constexpr double wait_before_others = 0.07;
 constexpr double wait_of_own_kind = 0.3;
 // Change of the logarithm of the admitted share with each request.
 constexpr double level_gain = 0.1;
@@ -37,6 +37,8 @@
 // The longest time that callers wait is determined over one to two of these periods.
 constexpr duration timeout_period = std::chrono::seconds(10);
 constexpr double max_share_deficit = 0.03;
+// Time during which requests waited lately, in seconds, for a shortage to be recognized.
+constexpr double min_recent_wait = 0.01;
 // Time during which requests waited before the rate of the queue counts as known.
 constexpr double min_queue_seconds = 0.5;
 // A request counts as hopeless if its expected wait is longer than the time left by this factor,
@@ -200,15 +202,19 @@
 void overload_policy::update_order(time_point now)
 {
     const double all = this->all_started.value(now) / std::max(this->all_arrived.value(now), 1.0);
-    for (auto& each : this->kinds) {
-        const double share = this->served_share(now, each);
-        const bool starved = share < min_served_share * all;
-        const bool overtaken =
-            std::any_of(this->kinds.begin(), this->kinds.end(), [&](const auto& other) {
-                return other.priority > each.priority && other.arrived.value(now) >= min_arrivals &&
-                       this->served_share(now, other) > share + max_share_deficit;
-            });
-        each.goes_first = each.arrived.value(now) >= min_arrivals && (starved || overtaken);
+    std::vector<std::optional<double>> shares;
+    shares.reserve(this->kinds.size());
+    for (const auto& each : this->kinds) {
+        const bool is_known = each.arrived.value(now) >= min_arrivals;
+        shares.push_back(is_known ? std::optional(this->served_share(now, each)) : std::nullopt);
+    }
+    for (std::size_t i = 0; i < this->kinds.size(); ++i) {
+        auto& each = this->kinds[i];
+        each.goes_first = shares[i] && *shares[i] < min_served_share * all;
+        for (std::size_t k = 0; shares[i] && !each.goes_first && k < this->kinds.size(); ++k) {
+            each.goes_first = this->kinds[k].priority > each.priority && shares[k] &&
+                              *shares[k] > *shares[i] + max_share_deficit;
+        }
     }
 }
 
@@ -243,6 +249,11 @@
     return this->queue_seconds.value(now) + current;
 }
 
+bool overload_policy::waited_lately(time_point now) const
+{
+    return this->busy_seconds(now) > min_recent_wait;
+}
+
 std::optional<duration> overload_policy::expected_wait(time_point now, std::size_t ahead) const
 {
     const double busy = this->busy_seconds(now);
--- a/src/azureshore/balance/overload_policy.hpp
+++ b/src/azureshore/balance/overload_policy.hpp
@@ -88,6 +88,9 @@
     // To be called when requests begin to wait, and when none waits any longer.
     void set_waiting(time_point now, bool any_waiting);
 
+    // Whether requests waited in the last seconds.
+    [[nodiscard]] bool waited_lately(time_point now) const;
+
     // Determines the kinds that go first because they were served too seldom. Holds until the next
     // call.
     void update_order(time_point now);
--- a/tests/balance/capacity_shortage_tests.cpp
+++ b/tests/balance/capacity_shortage_tests.cpp
@@ -53,9 +53,8 @@
         for (int i = 0; i < count; ++i) {
             this->simulation.clock.run_for(std::chrono::duration_cast<duration>(10s) / count);
             const auto kind = uniform_index(this->simulation.random, kinds.size());
-            keys.at(kind).push_back(
-                this->simulation.request(uniform_index(this->simulation.random, 8),
-                                         '/' + kinds.at(kind) + "/1", 1500ms));
+            keys.at(kind).push_back(this->simulation.request(
+                uniform_index(this->simulation.random, 8), '/' + kinds.at(kind) + "/1", 1500ms));
         }
         this->simulation.clock.run_for(3s);
         std::array<shares, 3> result;
