--- a/src/azureshore/balance/internal/admission.cpp
+++ b/src/azureshore/balance/internal/admission.cpp
@@ -96,6 +96,9 @@
 detail::response_time_estimate&
 dispatcher::state::response_time_of(const in_flight_request& request)
 {
+    if (request.response_time != nullptr) {
+        return *request.response_time;
+    }
     return this->response_times
         .try_emplace(request.matched_route->name + '@' + request.service.value,
                      request.matched_route->target_latency)
@@ -150,6 +153,7 @@
     request.priority = matched->priority;
     const bool authorized = this->authorize(request);
     request.service = this->service_selector.next(*matched, this->hooks.random);
+    request.response_time = &this->response_time_of(request);
     const auto caller_timeout = incoming.caller_timeout.value_or(default_caller_timeout);
     request.deadline = incoming.arrived + std::min(matched->timeout, caller_timeout);
     if (!authorized) {
