Test gateways against crowds of callers that ignore the limits

The memory and the descriptors that callers can take in a gateway have no common bound. The setting limits.memory is read and not in force yet.

--- a/src/azureshore/settings/gateway_settings.cpp
+++ b/src/azureshore/settings/gateway_settings.cpp
@@ -9,6 +9,8 @@
 constexpr std::int64_t hour_ms = 3'600'000;
 constexpr std::int64_t most_sends = 1'000'000;
 constexpr std::int64_t most_lines = 1'000'000;
+constexpr std::int64_t least_memory_mb = 48;
+constexpr std::int64_t most_memory_mb = 100'000'000;
 
 std::vector<rule> place_rules(gateway_settings& target)
 {
@@ -65,6 +67,9 @@
         {"logs.lines_per_second", value_kind::whole_number, false, "100", 0, most_lines,
          "Most log lines a second; more are counted and dropped.",
          to_size(target.log_lines_per_second)},
+        {"limits.memory", value_kind::whole_number, false, "the system's", least_memory_mb,
+         most_memory_mb, "Memory of the machine in MB (1,000,000 bytes).",
+         to_size(target.memory_mb)},
     };
 }
 
--- a/src/azureshore/settings/gateway_settings.hpp
+++ b/src/azureshore/settings/gateway_settings.hpp
@@ -47,6 +47,9 @@
     double probes_per_second = 60;
 
     std::size_t log_lines_per_second = 100;
+
+    // Memory of the machine in units of 1,000,000 bytes; zero for what the system says.
+    std::size_t memory_mb = 0;
 };
 
 // The rules of such a file; their values go to `target`, which must outlive them.
--- a/tests/deployment/local_backend.cpp
+++ b/tests/deployment/local_backend.cpp
@@ -1,7 +1,10 @@
 #include "deployment/local_backend.hpp"
 
+#include "azureshore/net/field_text.hpp"
+
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace azureshore::testing {
@@ -9,6 +12,7 @@
 namespace {
 
 constexpr std::size_t most_waiting = 4;
+constexpr std::size_t most_body_bytes = 64UL * 1024UL * 1024UL;
 constexpr std::string_view health_path = "/health";
 
 std::int64_t wall_clock_ms()
@@ -36,7 +40,7 @@
                              asio::io_context& links, standin::delays& timers_of, judge& watched_by)
     : zone(std::move(in)), slots(slot_count), work_time(work), timers(timers_of), watch(watched_by),
       instance(std::move(id)), born_ms(wall_clock_ms()),
-      server({{"127.0.0.1", 0}, 1},
+      server({{"127.0.0.1", 0}, 1, most_body_bytes},
              {[this](const net::http_call& call, const net::responder& respond) {
                   this->handle(call, respond);
               },
@@ -240,6 +244,9 @@
                               {"X-Server-Signature", "signed"},
                               {"X-Backend-Load", this->load()}};
             answer.body = request + " ran at " + this->instance;
+            if (const auto bytes = net::parse_number(done.call.header("X-Answer-Bytes"))) {
+                answer.body.resize(std::max(answer.body.size(), *bytes), '.');
+            }
             if (!this->waiting.empty()) {
                 const auto next = this->waiting.front();
                 this->waiting.pop_front();
--- a/tests/deployment/local_deployment.cpp
+++ b/tests/deployment/local_deployment.cpp
@@ -59,7 +59,8 @@
                 this->timers.after(span, std::move(action));
             }),
       folder(plan.folder), watch(watched_by), slots(plan.slots), work_time(plan.work),
-      subnet(subnet_of_this_process())
+      max_body_bytes(plan.max_body_bytes), idle_timeout(plan.idle_timeout),
+      memory_mb(plan.memory_mb), subnet(subnet_of_this_process())
 {
     const auto first = this->subnet + '1';
     this->peers_port = free_port<asio::ip::udp>(this->executor, first);
@@ -122,6 +123,9 @@
     text << "]\n[store]\naddress = \"" << to_string(vm.to_store->where()) << "\"\n"
          << "[bounds]\napply_within = 2500\nstop_within = 6000\nretry_slack = " << retry_slack
          << '\n';
+    if (this->memory_mb > 0) {
+        text << "[limits]\nmemory = " << this->memory_mb << '\n';
+    }
     // A file that is being written must not be read half.
     const auto next = vm.settings_file + ".next";
     {
@@ -169,9 +173,9 @@
     const json made{{"version", digits.str()},
                     {"limits",
                      {{"max_header_bytes", 16384},
-                      {"max_body_bytes", 1048576},
+                      {"max_body_bytes", this->max_body_bytes},
                       {"header_timeout_ms", 3000},
-                      {"idle_timeout_ms", 15000}}},
+                      {"idle_timeout_ms", this->idle_timeout.count()}}},
                     {"listeners", json::array({{{"host", "a.example"}, {"rule_set", rules}}})},
                     {"clusters", json::array({{{"name", "plates"},
                                                {"health_path", "/health"},
--- a/tests/deployment/local_deployment.hpp
+++ b/tests/deployment/local_deployment.hpp
@@ -45,6 +45,11 @@
     duration work = std::chrono::milliseconds(30);
     // Where the settings and the logs are written; a new folder when empty.
     std::string folder;
+    // The limits for callers.
+    std::size_t max_body_bytes = 1048576;
+    std::chrono::milliseconds idle_timeout = std::chrono::seconds(15);
+    // The setting `limits.memory` of each gateway; not set when zero.
+    std::size_t memory_mb = 0;
 };
 
 // Gateways as processes on loopback addresses of their own, with the platform's store, backend
@@ -104,6 +109,9 @@
     judge& watch;
     unsigned slots;
     duration work_time;
+    std::size_t max_body_bytes;
+    std::chrono::milliseconds idle_timeout;
+    std::size_t memory_mb;
     std::vector<std::string> zones{"north", "south"};
     std::unique_ptr<net::http_server> store_server;
     std::thread links;
--- a/tests/processes/child_process.hpp
+++ b/tests/processes/child_process.hpp
@@ -31,6 +31,9 @@
 
     void signal(int number) const;
 
+    // The process's id; -1 once it has ended.
+    [[nodiscard]] pid_t id() const { return this->pid; }
+
     // Processor time used so far, of the process and of the system for it.
     [[nodiscard]] std::chrono::milliseconds processor_time() const;
 
