Bound the memory and the connections that callers take in a gateway

Bodies, heads and answers that wait for slow callers had no common bound, bodies were copied when they were sent on, and connections were taken up to the last descriptor.

One account holds what requests and answers take, up to limits.memory less a reserve for the process. A body is held once: its memory is reserved by its announced length, it is written to the backend server from where it stands, and large blocks are mapped by themselves, so that they go back to the system at once. Connections are bounded by descriptors and memory; idle and half-sent ones are closed for new ones, the oldest first. A closing connection reads at most 4 MiB. A backend server isn't held at fault when its answer finds no memory.

--- a/src/azureshore/balance/dispatch_types.hpp
+++ b/src/azureshore/balance/dispatch_types.hpp
@@ -77,6 +77,8 @@
     bool connection_lost = false;
     // Whether the answer was broken off because it became too large to hold.
     bool answer_too_large = false;
+    // Whether the answer was broken off because this daemon's memory was taken by others.
+    bool out_of_memory = false;
     // Whether the answer bears a backend server's signature.
     bool is_signed = false;
     std::optional<load_report> load;
--- a/src/azureshore/balance/internal/attempts.cpp
+++ b/src/azureshore/balance/internal/attempts.cpp
@@ -149,6 +149,7 @@
                {"end", result.end == attempt_end::answered  ? "answered"
                        : result.end == attempt_end::not_run ? "not_run"
                        : result.answer_too_large            ? "answer_too_large"
+                       : result.out_of_memory               ? "out_of_memory"
                                                             : "unknown"},
                {"status", std::to_string(result.status)},
                {"signed", result.is_signed ? "true" : "false"},
@@ -163,7 +164,9 @@
         return;
     }
     request->may_have_run = true;
-    this->backends.record_failure(now, ended_attempt.backend, 1);
+    if (!result.out_of_memory) {
+        this->backends.record_failure(now, ended_attempt.backend, 1);
+    }
     if (result.connection_lost) {
         this->crashes.record_crash(now, request->incoming.fingerprint);
         if (this->hooks.suspected) {
--- a/src/azureshore/daemon/gateway_daemon.cpp
+++ b/src/azureshore/daemon/gateway_daemon.cpp
@@ -13,6 +13,7 @@
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
+#include <malloc.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -49,6 +50,9 @@
 // Until a daemon knows the others, it assumes this many, so that its share of the common bounds is
 // not too large for a large deployment.
 constexpr std::size_t assumed_daemons = 512;
+// Larger blocks are mapped by themselves, so that memory goes back to the system when a body ends.
+constexpr int least_mapped_bytes = 64 * 1024;
+constexpr std::size_t bytes_per_mb = 1'000'000;
 constexpr int status_ok = 200;
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
@@ -101,6 +105,8 @@
     int run()
     {
         std::signal(SIGPIPE, SIG_IGN);
+        // Set explicitly, the limit doesn't grow with the blocks that are freed (mallopt(3)).
+        mallopt(M_MMAP_THRESHOLD, least_mapped_bytes);
         this->await_signal();
         release_signals();
         this->flush_log();
@@ -129,6 +135,7 @@
         made.callers = this->settings.callers;
         made.bounds = {this->settings.retry_ratio, this->settings.retry_slack,
                        this->settings.retry_window, this->settings.probes_per_second};
+        made.memory_bytes = this->settings.memory_mb * bytes_per_mb;
         return made;
     }
 
--- a/src/azureshore/gateway/backend_pool.cpp
+++ b/src/azureshore/gateway/backend_pool.cpp
@@ -46,8 +46,10 @@
 
 class backend_pool::state : public std::enable_shared_from_this<backend_pool::state> {
 public:
-    state(asio::io_context& context, dialect spelling)
-        : executor(context), words(std::move(spelling))
+    state(asio::io_context& context, dialect spelling,
+          std::shared_ptr<detail::request_memory> account)
+        : memory(std::make_shared<detail::answer_memory>(std::move(account))), executor(context),
+          words(std::move(spelling))
     {
     }
 
@@ -84,14 +86,17 @@
         }
     }
 
-    void send(const balance::attempt_order& order, const http1::request& request, attempt_done done)
+    void send(const balance::attempt_order& order,
+              const std::shared_ptr<const http1::request>& request, attempt_done done)
     {
         const auto connection = this->connection_for(order);
         this->running[order.attempt] = connection;
         detail::exchange next;
-        next.bytes = http1::write_request(this->completed(order, request));
-        next.is_head = request.method == "HEAD";
-        const std::string id(net::find_field(request.fields, this->words.request_id));
+        next.bytes =
+            http1::write_request_head(this->completed(order, *request), request->body.size());
+        next.body = {request, &request->body};
+        next.is_head = request->method == "HEAD";
+        const std::string id(net::find_field(request->fields, this->words.request_id));
         next.matches = [this, id](const http1::response& answer) {
             return net::find_field(answer.fields, this->words.request_id) == id;
         };
@@ -147,7 +152,7 @@
     }
 
     std::uint64_t opened = 0;
-    std::shared_ptr<detail::answer_memory> memory = std::make_shared<detail::answer_memory>();
+    std::shared_ptr<detail::answer_memory> memory;
 
 private:
     struct held_connection {
@@ -208,13 +213,13 @@
         };
     }
 
+    // The request as it is sent, without its body.
     http1::request completed(const balance::attempt_order& order,
                              const http1::request& request) const
     {
         http1::request out;
         out.method = request.method;
         out.target = request.target;
-        out.body = request.body;
         for (auto& each : net::end_to_end(request.fields)) {
             if (!net::same_name(each.name, this->words.deadline_ms) &&
                 !net::same_name(each.name, this->words.expected_instance)) {
@@ -257,6 +262,7 @@
             ended.end = balance::attempt_end::unknown;
             ended.connection_lost = result.end == exchange_end::broken;
             ended.answer_too_large = result.end == exchange_end::too_large;
+            ended.out_of_memory = result.end == exchange_end::no_memory;
             return ended;
         }
         const auto& answer = result.answer;
@@ -280,8 +286,9 @@
     std::unordered_map<attempt_number, connection_ptr> running;
 };
 
-backend_pool::backend_pool(asio::io_context& executor, dialect words)
-    : inner(std::make_shared<state>(executor, std::move(words)))
+backend_pool::backend_pool(asio::io_context& executor, dialect words,
+                           std::shared_ptr<detail::request_memory> memory)
+    : inner(std::make_shared<state>(executor, std::move(words), std::move(memory)))
 {
 }
 
@@ -300,8 +307,8 @@
     this->inner->release(probe);
 }
 
-void backend_pool::send(const balance::attempt_order& order, const http1::request& request,
-                        attempt_done done)
+void backend_pool::send(const balance::attempt_order& order,
+                        const std::shared_ptr<const http1::request>& request, attempt_done done)
 {
     this->inner->send(order, request, std::move(done));
 }
--- a/src/azureshore/gateway/backend_pool.hpp
+++ b/src/azureshore/gateway/backend_pool.hpp
@@ -13,6 +13,10 @@
 
 namespace azureshore::gateway {
 
+namespace detail {
+class request_memory;
+}
+
 using probe_done = std::function<void(const std::optional<balance::probe_result>&)>;
 // The answer is empty unless the attempt was answered.
 using attempt_done = std::function<void(const balance::attempt_result&, http1::response)>;
@@ -21,7 +25,9 @@
 // the attempt that may follow, so an attempt starts on a connection that has just answered.
 class backend_pool {
 public:
-    backend_pool(asio::io_context& executor, dialect words);
+    // Answers are held in `memory`.
+    backend_pool(asio::io_context& executor, dialect words,
+                 std::shared_ptr<detail::request_memory> memory);
     ~backend_pool();
     backend_pool(const backend_pool&) = delete;
     backend_pool& operator=(const backend_pool&) = delete;
@@ -34,9 +40,10 @@
     // The probe's connection may carry something else.
     void release(balance::probe_number probe);
 
-    // Sends a caller's request; its header fields are completed here.
-    void send(const balance::attempt_order& order, const http1::request& request,
-              attempt_done done);
+    // Sends a caller's request; its header fields are completed here. The request is held until its
+    // body is written.
+    void send(const balance::attempt_order& order,
+              const std::shared_ptr<const http1::request>& request, attempt_done done);
 
     // Closes the attempt's connection; `done` is not called any more.
     void cancel(attempt_number attempt);
@@ -47,7 +54,7 @@
     // Connections that were opened so far.
     [[nodiscard]] std::uint64_t opened() const;
 
-    // Bytes of answers that are being read.
+    // Bytes of answers that are being read or wait for their callers.
     [[nodiscard]] std::size_t held_bytes() const;
 
 private:
--- a/src/azureshore/gateway/gateway.cpp
+++ b/src/azureshore/gateway/gateway.cpp
@@ -3,6 +3,8 @@
 #include "azureshore/core/hash.hpp"
 #include "azureshore/gateway/backend_pool.hpp"
 #include "azureshore/gateway/http_port.hpp"
+#include "azureshore/gateway/internal/machine_limits.hpp"
+#include "azureshore/gateway/internal/request_memory.hpp"
 #include "azureshore/gateway/internal/request_times.hpp"
 #include "azureshore/observe/metrics.hpp"
 
@@ -35,6 +37,13 @@
     return stable_hash(request.body, stable_hash(request.target, stable_hash(request.method)));
 }
 
+detail::caller_capacity capacity_of(const gateway_settings& settings)
+{
+    const auto machine =
+        settings.memory_bytes > 0 ? settings.memory_bytes : detail::system_memory_bytes();
+    return detail::capacity_of(machine, detail::system_descriptor_limit());
+}
+
 // A request has exactly one Host and a path; OPTIONS may ask about the server as a whole.
 bool well_formed(const http1::request& request)
 {
@@ -51,10 +60,12 @@
 public:
     state(asio::io_context& context, const gateway_settings& settings, dialect spelling,
           observe::decision_hook decided, std::function<void(std::uint64_t)> suspected)
-        : executor(context), words(std::move(spelling)), pool(context, this->words),
-          log(std::move(decided)),
+        : executor(context), words(std::move(spelling)), capacity(capacity_of(settings)),
+          memory(std::make_shared<detail::request_memory>(this->capacity.memory_bytes)),
+          pool(context, this->words, this->memory), log(std::move(decided)),
           decisions(settings.data_centre, settings.bounds, this->make_hooks(std::move(suspected))),
-          port(context, settings.callers, this->make_port_hooks())
+          port(context, settings.callers, this->make_port_hooks(),
+               {this->memory, this->capacity.connections})
     {
     }
 
@@ -77,6 +88,7 @@
         counters.add("azureshore_backend_connections_opened_total", {}, this->pool.opened());
         counters.set("azureshore_held_answer_bytes", {},
                      static_cast<double>(this->pool.held_bytes()));
+        this->add_memory(counters);
         auto text = counters.to_text() + this->client_errors.to_text();
         this->times.write(text);
         return text;
@@ -84,14 +96,32 @@
 
     asio::io_context& executor;
     dialect words;
+    detail::caller_capacity capacity;
+    std::shared_ptr<detail::request_memory> memory;
     backend_pool pool;
     observe::decision_hook log;
     balance::dispatcher decisions;
     http_port port;
 
 private:
+    void add_memory(observe::metrics& into) const
+    {
+        into.set("azureshore_caller_memory_bytes", {},
+                 static_cast<double>(this->memory->held_bytes()));
+        into.set("azureshore_caller_memory_limit_bytes", {},
+                 static_cast<double>(this->memory->ceiling_bytes()));
+        into.add("azureshore_caller_memory_refusals_total", {}, this->memory->refusals());
+        into.add("azureshore_caller_memory_reclaims_total", {}, this->memory->reclaims());
+        into.set("azureshore_caller_connections", {},
+                 static_cast<double>(this->port.open_connections()));
+        into.set("azureshore_caller_connections_limit", {},
+                 static_cast<double>(this->capacity.connections));
+        into.add("azureshore_caller_connections_closed_for_room_total", {},
+                 this->port.closed_for_room());
+    }
+
     struct stored_request {
-        http1::request request;
+        std::shared_ptr<const http1::request> request;
         std::map<attempt_number, http1::response> answers;
     };
 
@@ -181,7 +211,7 @@
         if (patience) {
             arrived.caller_timeout = std::chrono::milliseconds(*patience);
         }
-        this->requests[number].request = std::move(request);
+        this->requests[number].request = std::make_shared<const http1::request>(std::move(request));
         this->decisions.begin(arrived);
     }
 
@@ -192,6 +222,11 @@
         if (status < first_server_error) {
             this->count_client_error(status, cause);
         }
+        else {
+            this->client_errors.add(
+                "azureshore_early_refusals_total",
+                {{"cause", std::string(cause)}, {"status", std::to_string(status)}});
+        }
         if (this->log) {
             this->log({"reject",
                        {{"request", std::string(id)},
@@ -226,8 +261,11 @@
         auto& from = stored.mapped().answers.at(attempt);
         http1::response answer;
         answer.status = from.status;
-        answer.fields = this->forwarded(stored.mapped().request, from);
+        answer.fields = this->forwarded(*stored.mapped().request, from);
         answer.body = std::move(from.body);
+        answer.memory = std::move(from.memory);
+        // What waits for the caller now is the answer alone.
+        stored = {};
         this->port.answer(request, std::move(answer));
     }
 
@@ -252,7 +290,8 @@
         http1::response answer;
         answer.status = why.status;
         if (!stored.empty()) {
-            const auto id = net::find_field(stored.mapped().request.fields, this->words.request_id);
+            const auto id =
+                net::find_field(stored.mapped().request->fields, this->words.request_id);
             answer.fields.push_back({this->words.request_id, std::string(id)});
         }
         answer.fields.push_back({"Content-Type", "text/plain"});
--- a/src/azureshore/gateway/gateway.hpp
+++ b/src/azureshore/gateway/gateway.hpp
@@ -17,6 +17,8 @@
     data_centre_id data_centre;
     address callers;
     balance::shared_bounds bounds;
+    // Memory of the machine; zero for what the system says.
+    std::size_t memory_bytes = 0;
 };
 
 // Takes callers' requests in, sends them to backend servers as the dispatcher decides, and hands
--- a/src/azureshore/gateway/http_port.cpp
+++ b/src/azureshore/gateway/http_port.cpp
@@ -16,38 +16,55 @@
 constexpr int longest_backlog = 1024;
 // Wait after an accept that failed for want of descriptors.
 constexpr std::chrono::milliseconds accept_pause(20);
+// Bytes of a connection that may wait in the kernel, where they count as this process's memory.
+constexpr int receive_buffer_bytes = 128 * 1024;
+// Memory of a port without an account.
+constexpr std::size_t own_memory_bytes = 4UL * 1024UL * 1024UL;
 
 } // namespace
 
 class http_port::state : public detail::caller_owner,
                          public std::enable_shared_from_this<http_port::state> {
 public:
-    state(asio::io_context& context, const address& where, http_port_hooks calls)
-        : acceptor(context), pause(context), hooks(std::move(calls))
+    state(asio::io_context& context, const address& where, http_port_hooks calls,
+          http_port_capacity capacity)
+        : acceptor(context), pause(context), hooks(std::move(calls)),
+          account(capacity.memory ? std::move(capacity.memory)
+                                  : std::make_shared<detail::request_memory>(own_memory_bytes)),
+          bound(capacity.connections)
     {
         const tcp::endpoint at(asio::ip::make_address(where.host), where.port);
         this->acceptor.open(at.protocol());
         this->acceptor.set_option(tcp::acceptor::reuse_address(true));
+        // Accepted connections inherit it.
+        this->acceptor.set_option(asio::socket_base::receive_buffer_size(receive_buffer_bytes));
         this->acceptor.bind(at);
         this->acceptor.listen(longest_backlog);
     }
 
     void accept()
     {
-        this->acceptor.async_accept([self = this->shared_from_this()](const asio::error_code& error,
-                                                                      tcp::socket socket) {
-            if (error == asio::error::operation_aborted || self->stopped) {
-                return;
-            }
-            if (error) {
-                self->accept_later();
-                return;
-            }
-            const auto made = std::make_shared<detail::caller_connection>(std::move(socket), *self);
-            self->connections.insert(made);
-            made->start();
-            self->accept();
-        });
+        this->acceptor.async_accept(
+            [self = this->shared_from_this()](const asio::error_code& error, tcp::socket socket) {
+                if (error == asio::error::operation_aborted || self->stopped) {
+                    return;
+                }
+                if (error) {
+                    self->accept_later();
+                    return;
+                }
+                if (self->bound.make_room()) {
+                    self->open(std::move(socket));
+                }
+                self->accept();
+            });
+    }
+
+    void open(tcp::socket socket)
+    {
+        const auto made = std::make_shared<detail::caller_connection>(std::move(socket), *this);
+        this->connections.insert(made);
+        made->start();
     }
 
     void answer(request_number request, http1::response answer)
@@ -120,6 +137,20 @@
 
     [[nodiscard]] bool keeps_connections() const override { return this->keeping; }
 
+    [[nodiscard]] const std::shared_ptr<detail::request_memory>& memory() const override
+    {
+        return this->account;
+    }
+
+    detail::connection_limit& connections_bound() override { return this->bound; }
+
+    void set_limits(const balance::caller_limits& limits)
+    {
+        this->current_limits = limits;
+        this->has_limits = true;
+        this->account->set_patience(limits.header_timeout);
+    }
+
     [[nodiscard]] std::size_t in_flight() const
     {
         std::size_t busy = 0;
@@ -132,6 +163,8 @@
     tcp::acceptor acceptor;
     asio::steady_timer pause;
     http_port_hooks hooks;
+    std::shared_ptr<detail::request_memory> account;
+    detail::connection_limit bound;
     balance::caller_limits current_limits;
     bool has_limits = false;
     bool keeping = true;
@@ -153,8 +186,9 @@
     std::set<std::shared_ptr<detail::caller_connection>> connections;
 };
 
-http_port::http_port(asio::io_context& executor, const address& where, http_port_hooks hooks)
-    : inner(std::make_shared<state>(executor, where, std::move(hooks)))
+http_port::http_port(asio::io_context& executor, const address& where, http_port_hooks hooks,
+                     http_port_capacity capacity)
+    : inner(std::make_shared<state>(executor, where, std::move(hooks), std::move(capacity)))
 {
     this->inner->accept();
 }
@@ -172,8 +206,7 @@
 
 void http_port::set_limits(const balance::caller_limits& limits)
 {
-    this->inner->current_limits = limits;
-    this->inner->has_limits = true;
+    this->inner->set_limits(limits);
 }
 
 void http_port::stop_keeping()
@@ -196,4 +229,14 @@
     return this->inner->in_flight();
 }
 
+std::size_t http_port::open_connections() const
+{
+    return this->inner->bound.open_connections();
+}
+
+std::uint64_t http_port::closed_for_room() const
+{
+    return this->inner->bound.closed_for_room();
+}
+
 } // namespace azureshore::gateway
--- a/src/azureshore/gateway/http_port.hpp
+++ b/src/azureshore/gateway/http_port.hpp
@@ -6,6 +6,7 @@
 #include "azureshore/core/time.hpp"
 #include "azureshore/http1/message.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -17,6 +18,18 @@
 
 namespace azureshore::gateway {
 
+namespace detail {
+class request_memory;
+}
+
+// What the callers of a port may take together.
+struct http_port_capacity {
+    // Accounts for their messages; the port has a small account of its own when empty.
+    std::shared_ptr<detail::request_memory> memory;
+    // Open connections; beyond them, idle ones and those without a whole request are closed.
+    std::size_t connections = 128;
+};
+
 // Called on the executor's thread.
 struct http_port_hooks {
     // A whole request has come; one answer is due, unless the caller leaves first.
@@ -33,7 +46,8 @@
 class http_port {
 public:
     // Listens at once; throws std::system_error when the address can't be had.
-    http_port(asio::io_context& executor, const address& where, http_port_hooks hooks);
+    http_port(asio::io_context& executor, const address& where, http_port_hooks hooks,
+              http_port_capacity capacity = {});
     ~http_port();
     http_port(const http_port&) = delete;
     http_port& operator=(const http_port&) = delete;
@@ -59,6 +73,10 @@
     // Requests without an answer, and answers that are not sent whole.
     [[nodiscard]] std::size_t in_flight() const;
 
+    // Connections, and how many were closed to make room for others.
+    [[nodiscard]] std::size_t open_connections() const;
+    [[nodiscard]] std::uint64_t closed_for_room() const;
+
 private:
     class state;
     std::shared_ptr<state> inner;
--- a/src/azureshore/gateway/internal/backend_connection.cpp
+++ b/src/azureshore/gateway/internal/backend_connection.cpp
@@ -20,10 +20,12 @@
 
 backend_connection::backend_connection(asio::io_context& executor,
                                        const asio::ip::tcp::endpoint& peer,
-                                       std::shared_ptr<answer_memory> memory)
+                                       std::shared_ptr<answer_memory> answers)
     : socket(executor), where(peer), timer(executor),
-      reader(http1::message_kind::response, answer_limits), memory_share(std::move(memory))
+      reader(http1::message_kind::response, answer_limits), memory(std::move(answers)),
+      held(std::make_shared<answer_memory::share>(this->memory))
 {
+    this->reader.set_memory_check([this](std::size_t bytes) { return this->held->reserve(bytes); });
 }
 
 void backend_connection::start(exchange next)
@@ -70,9 +72,12 @@
         // Cancelling is not enough: the handler of an earlier limit may already be queued.
         this->timer.expires_at(asio::steady_timer::time_point::max());
     }
+    const auto body = this->current->body;
+    const std::array<asio::const_buffer, 2> parts{
+        asio::buffer(this->current->bytes), body ? asio::buffer(*body) : asio::const_buffer()};
     asio::async_write(
-        this->socket, asio::buffer(this->current->bytes),
-        [self = this->shared_from_this()](const asio::error_code& error, std::size_t) {
+        this->socket, parts,
+        [body, self = this->shared_from_this()](const asio::error_code& error, std::size_t) {
             if (!error) {
                 self->written = true;
             }
@@ -102,8 +107,8 @@
         this->close();
         return;
     }
-    if (!this->memory_share.grow(count)) {
-        this->finish(exchange_end::too_large, {});
+    if (!this->held->grow(count)) {
+        this->finish(this->end_without_room(), {});
         return;
     }
     this->pending.append(this->buffer.data(), count);
@@ -122,12 +127,11 @@
             return;
         }
         if (this->reader.state() != http1::read_state::complete) {
-            const bool too_large = this->reader.state() != http1::read_state::malformed;
-            this->finish(too_large ? exchange_end::too_large : exchange_end::broken, {});
+            const bool malformed = this->reader.state() == http1::read_state::malformed;
+            this->finish(malformed ? exchange_end::broken : this->end_without_room(), {});
             return;
         }
-        this->memory_share.release();
-        auto answer = this->reader.take_response();
+        auto answer = this->take_answer();
         this->keep = this->keep && answer.keep_alive;
         if (this->current->matches(answer)) {
             // Bytes after the answer, or a request that is not written whole, leave the
@@ -140,6 +144,18 @@
     }
 }
 
+http1::response backend_connection::take_answer()
+{
+    auto answer = this->reader.take_response();
+    answer.memory = std::exchange(this->held, std::make_shared<answer_memory::share>(this->memory));
+    return answer;
+}
+
+exchange_end backend_connection::end_without_room() const
+{
+    return this->held->short_of_room() ? exchange_end::no_memory : exchange_end::too_large;
+}
+
 void backend_connection::stream_ended(bool at_end)
 {
     if (!this->current) {
@@ -150,7 +166,7 @@
     if (at_end) {
         this->reader.end_of_stream();
         if (this->reader.state() == http1::read_state::complete) {
-            auto answer = this->reader.take_response();
+            auto answer = this->take_answer();
             if (this->current->matches(answer)) {
                 this->finish(exchange_end::answered, std::move(answer));
                 return;
@@ -163,7 +179,7 @@
 void backend_connection::finish(exchange_end end, http1::response answer)
 {
     this->timer.cancel();
-    this->memory_share.release();
+    this->held->release();
     auto done = std::move(this->current->done);
     this->current.reset();
     if (end != exchange_end::answered || !this->keep) {
@@ -190,7 +206,7 @@
         return;
     }
     this->closed = true;
-    this->memory_share.release();
+    this->held->release();
     asio::error_code ignored;
     this->socket.close(ignored);
     this->timer.cancel();
--- a/src/azureshore/gateway/internal/backend_connection.hpp
+++ b/src/azureshore/gateway/internal/backend_connection.hpp
@@ -25,6 +25,8 @@
     broken,
     // The answer is larger than this daemon can hold.
     too_large,
+    // There was no memory for the answer, because others have it.
+    no_memory,
     timed_out,
 };
 
@@ -37,7 +39,10 @@
 
 // One request and its answer.
 struct exchange {
+    // The head of the request, or all of it.
     std::string bytes;
+    // Sent after `bytes` from where it stands. May be empty.
+    std::shared_ptr<const std::string> body;
     bool is_head = false;
     // Zero waits for as long as the connection holds.
     duration timeout{};
@@ -52,7 +57,7 @@
 class backend_connection : public std::enable_shared_from_this<backend_connection> {
 public:
     backend_connection(asio::io_context& executor, const asio::ip::tcp::endpoint& peer,
-                       std::shared_ptr<answer_memory> memory);
+                       std::shared_ptr<answer_memory> answers);
 
     // Connects first if need be. `done` is called once, never from within.
     void start(exchange next);
@@ -72,6 +77,8 @@
     void read();
     void bytes_came(std::size_t count);
     void take_answers();
+    http1::response take_answer();
+    [[nodiscard]] exchange_end end_without_room() const;
     void finish(exchange_end end, http1::response answer);
     void stream_ended(bool at_end);
     void close();
@@ -83,7 +90,9 @@
     http1::message_reader reader;
     std::array<char, 8192> buffer{};
     std::string pending;
-    answer_memory::share memory_share;
+    std::shared_ptr<answer_memory> memory;
+    // The part of the answer under way; the answer keeps it.
+    std::shared_ptr<answer_memory::share> held;
     std::optional<exchange> current;
     bool connected = false;
     bool closed = false;
--- a/src/azureshore/gateway/internal/caller_connection.cpp
+++ b/src/azureshore/gateway/internal/caller_connection.cpp
@@ -16,9 +16,14 @@
 constexpr int status_unavailable = 503;
 // Seconds until a daemon that has just started is likely to have a configuration.
 constexpr std::string_view retry_after_start = "0.1";
+// Seconds in which some of the bodies that take all memory are likely to have been passed on.
+constexpr std::string_view retry_after_memory = "0.3";
 
 // How long a closing connection is read, so that the answer is not lost by a reset.
 constexpr duration linger_time = std::chrono::milliseconds(500);
+constexpr std::size_t linger_bytes = 4UL * 1024UL * 1024UL;
+// A larger buffer isn't kept once it is empty.
+constexpr std::size_t kept_buffer_bytes = 16UL * 1024UL;
 // Bytes that a caller may send ahead of the answer to its request; more is left in the socket.
 constexpr std::size_t most_ahead = 64UL * 1024UL;
 // A body may take this many times longer than a header.
@@ -26,12 +31,27 @@
 // An answer that its caller doesn't read is given up after this time.
 constexpr duration write_limit = std::chrono::seconds(20);
 
+// Clearing or assigning would keep the memory.
+void free_bytes(std::string& of)
+{
+    std::string().swap(of);
+}
+
 } // namespace
 
 caller_connection::caller_connection(asio::ip::tcp::socket accepted, caller_owner& port)
     : socket(std::move(accepted)), owner(port), timer(this->socket.get_executor()),
-      reader(http1::message_kind::request, this->allowed)
+      reader(http1::message_kind::request, this->allowed), incoming_share(this->new_share()),
+      outgoing_share(port.memory())
+{
+    this->reader.set_memory_check([this](std::size_t bytes) {
+        return this->incoming_share->resize(bytes + this->pending.size());
+    });
+}
+
+std::shared_ptr<memory_share> caller_connection::new_share() const
 {
+    return std::make_shared<memory_share>(this->owner.memory());
 }
 
 void caller_connection::start()
@@ -39,6 +59,7 @@
     asio::error_code ignored;
     this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     this->set_timer(this->owner.limits().idle_timeout);
+    this->place.emplace(this->owner.connections_bound(), [this] { this->close(); });
     this->read();
 }
 
@@ -50,7 +71,7 @@
 
 void caller_connection::read()
 {
-    if (this->reading || this->now == phase::closed || this->pending.size() >= most_ahead) {
+    if (this->reading || this->now == phase::closed || !this->may_read_ahead()) {
         return;
     }
     this->reading = true;
@@ -69,12 +90,28 @@
         });
 }
 
+// A request that is read has its memory checked as it is parsed.
+bool caller_connection::may_read_ahead()
+{
+    return this->now == phase::reading || this->now == phase::lingering ||
+           (this->pending.size() < most_ahead &&
+            this->incoming_share->resize(this->pending.size() + this->buffer.size()));
+}
+
 void caller_connection::bytes_came(std::size_t count)
 {
-    if (this->now != phase::lingering) {
+    if (this->now == phase::lingering) {
+        this->dropped += count;
+        if (this->dropped > linger_bytes) {
+            this->close();
+            return;
+        }
+    }
+    else {
         this->pending.append(this->buffer.data(), count);
     }
     if (this->now == phase::reading) {
+        this->incoming_share->progressed(count);
         this->take_bytes();
     }
     this->read();
@@ -85,13 +122,26 @@
     this->update_limits();
     const auto used = this->reader.feed(this->pending);
     this->pending.erase(0, used);
-    switch (this->reader.state()) {
+    if (this->pending.empty() && this->pending.capacity() > kept_buffer_bytes) {
+        free_bytes(this->pending);
+    }
+    const auto state = this->reader.state();
+    const bool sound =
+        state == http1::read_state::need_more || state == http1::read_state::complete;
+    if (sound && !this->incoming_share->resize(this->reader.held_bytes() + this->pending.size())) {
+        this->reject_no_memory();
+        return;
+    }
+    switch (state) {
     case http1::read_state::need_more:
         this->timer_for_request();
         return;
     case http1::read_state::complete:
         this->request_complete();
         return;
+    case http1::read_state::no_memory:
+        this->reject_no_memory();
+        return;
     case http1::read_state::malformed:
         this->reject(status_bad_request, "malformed");
         return;
@@ -127,6 +177,8 @@
     }
     if (!this->header_timer) {
         this->header_timer = true;
+        this->incoming_share->may_be_reclaimed(
+            [this] { this->reject(status_request_timeout, "stopped_arriving"); });
         this->set_timer(this->owner.limits().header_timeout);
     }
     if (this->reader.expects_continue() && !this->continue_sent) {
@@ -145,6 +197,9 @@
 void caller_connection::request_complete()
 {
     auto whole = this->reader.take_request();
+    this->incoming_share->must_stay();
+    whole.memory = std::exchange(this->incoming_share, this->new_share());
+    this->place->works();
     this->now = phase::waiting;
     this->timer.cancel();
     this->header_timer = false;
@@ -164,7 +219,11 @@
     this->request.reset();
     this->close_after = this->close_after || !answer.keep_alive || !this->owner.keeps_connections();
     answer.keep_alive = !this->close_after;
-    this->write(http1::write_response(answer, this->to_head));
+    auto head = http1::write_response_head(answer, this->to_head);
+    auto body = http1::sends_body(answer, this->to_head) ? std::move(answer.body) : std::string();
+    // Its memory is counted by this connection from now on.
+    answer.memory.reset();
+    this->write(std::move(head), std::move(body));
 }
 
 // Until the operators' limits are known, another daemon may accept what is too large here.
@@ -178,24 +237,45 @@
                  {{"Retry-After", std::string(retry_after_start)}});
 }
 
+void caller_connection::reject_no_memory()
+{
+    this->reject(status_unavailable, "no_memory",
+                 {{"Retry-After", std::string(retry_after_memory)}});
+}
+
 void caller_connection::reject(int status, std::string_view cause, std::vector<net::field> fields)
 {
     this->owner.rejected(status, cause);
     this->close_after = true;
+    this->reader.discard();
+    free_bytes(this->pending);
+    this->incoming_share->must_stay();
+    this->incoming_share->force(0);
     http1::response refused;
     refused.status = status;
     refused.fields = std::move(fields);
     refused.keep_alive = false;
-    this->write(http1::write_response(refused, false));
+    this->write(http1::write_response(refused, false), {});
 }
 
-void caller_connection::write(std::string bytes)
+void caller_connection::write(std::string head, std::string body)
 {
     this->now = phase::writing;
-    this->outgoing = std::move(bytes);
+    this->outgoing_head = std::move(head);
+    this->outgoing_body = std::move(body);
+    this->sent = 0;
+    this->outgoing_share.force(this->outgoing_head.size() + this->outgoing_body.size());
+    this->outgoing_share.may_be_reclaimed([this] { this->close(); });
     this->set_timer(write_limit);
+    const std::array<asio::const_buffer, 2> parts{asio::buffer(this->outgoing_head),
+                                                  asio::buffer(this->outgoing_body)};
+    const auto note_progress = [self = this->shared_from_this()](const asio::error_code& error,
+                                                                 std::size_t total) {
+        self->outgoing_share.progressed(total - std::exchange(self->sent, total));
+        return asio::transfer_all()(error, total);
+    };
     asio::async_write(
-        this->socket, asio::buffer(this->outgoing),
+        this->socket, parts, note_progress,
         [self = this->shared_from_this()](const asio::error_code& error, std::size_t) {
             if (self->now == phase::closed) {
                 return;
@@ -210,6 +290,11 @@
 
 void caller_connection::written()
 {
+    this->outgoing_share.must_stay();
+    this->outgoing_share.force(0);
+    free_bytes(this->outgoing_head);
+    free_bytes(this->outgoing_body);
+    this->place->waits();
     if (this->close_after) {
         this->linger();
         return;
@@ -227,7 +312,8 @@
 void caller_connection::linger()
 {
     this->now = phase::lingering;
-    this->pending.clear();
+    free_bytes(this->pending);
+    this->incoming_share->force(0);
     asio::error_code ignored;
     this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     this->set_timer(linger_time);
@@ -258,6 +344,12 @@
     asio::error_code ignored;
     this->socket.close(ignored);
     this->timer.cancel();
+    this->place.reset();
+    this->incoming_share->must_stay();
+    this->incoming_share->force(0);
+    this->outgoing_share.must_stay();
+    this->outgoing_share.force(0);
+    this->reader.discard();
     if (this->request) {
         this->owner.caller_left(*std::exchange(this->request, std::nullopt));
     }
--- a/src/azureshore/gateway/internal/caller_connection.hpp
+++ b/src/azureshore/gateway/internal/caller_connection.hpp
@@ -2,6 +2,8 @@
 
 #include "azureshore/balance/traffic_configuration.hpp"
 #include "azureshore/core/ids.hpp"
+#include "azureshore/gateway/internal/connection_limit.hpp"
+#include "azureshore/gateway/internal/request_memory.hpp"
 #include "azureshore/http1/message_reader.hpp"
 
 #include <asio/ip/tcp.hpp>
@@ -38,6 +40,9 @@
     // Whether an operator has set the limits.
     [[nodiscard]] virtual bool limits_known() const = 0;
     [[nodiscard]] virtual bool keeps_connections() const = 0;
+    // The account of what callers' messages take, and the bound of their connections.
+    [[nodiscard]] virtual const std::shared_ptr<request_memory>& memory() const = 0;
+    virtual connection_limit& connections_bound() = 0;
 };
 
 // One connection of a caller: reads a request, waits for its answer, sends it, and reads the next.
@@ -63,7 +68,10 @@
     void request_complete();
     void reject(int status, std::string_view cause, std::vector<net::field> fields = {});
     void reject_too_large(int status, std::string_view cause);
-    void write(std::string bytes);
+    void reject_no_memory();
+    [[nodiscard]] bool may_read_ahead();
+    [[nodiscard]] std::shared_ptr<memory_share> new_share() const;
+    void write(std::string head, std::string body);
     void written();
     void linger();
     void peer_ended();
@@ -80,7 +88,14 @@
     std::array<char, 8192> buffer{};
     // Bytes that came and are not parsed yet.
     std::string pending;
-    std::string outgoing;
+    std::string outgoing_head;
+    std::string outgoing_body;
+    std::size_t sent = 0;
+    // What the request that is read takes, with bytes read ahead; a whole request keeps it.
+    std::shared_ptr<memory_share> incoming_share;
+    memory_share outgoing_share;
+    std::optional<connection_limit::place> place;
+    std::size_t dropped = 0;
     phase now = phase::reading;
     bool reading = false;
     bool close_after = false;
--- a/src/azureshore/http1/message.cpp
+++ b/src/azureshore/http1/message.cpp
@@ -11,6 +11,8 @@
 constexpr int first_final_status = 200;
 constexpr int no_content = 204;
 constexpr int not_modified = 304;
+// Room that a head usually takes.
+constexpr std::size_t head_bytes = 512;
 
 void append_fields(std::string& out, const std::vector<net::field>& fields)
 {
@@ -73,38 +75,48 @@
 }
 
 std::string write_request(const request& out)
+{
+    return write_request_head(out, out.body.size()).append(out.body);
+}
+
+std::string write_request_head(const request& out, std::size_t body_bytes)
 {
     std::string bytes;
-    bytes.reserve(512 + out.body.size());
+    bytes.reserve(head_bytes);
     bytes.append(out.method).append(" ").append(out.target).append(" HTTP/1.1\r\n");
     append_fields(bytes, out.fields);
-    if (!out.body.empty() || has_usual_body(out.method)) {
-        append_length(bytes, out.body.size());
+    if (body_bytes > 0 || has_usual_body(out.method)) {
+        append_length(bytes, body_bytes);
     }
-    bytes.append("\r\n").append(out.body);
-    return bytes;
+    return bytes.append("\r\n");
 }
 
 std::string write_response(const response& out, bool to_head)
+{
+    auto bytes = write_response_head(out, to_head);
+    return sends_body(out, to_head) ? bytes.append(out.body) : bytes;
+}
+
+std::string write_response_head(const response& out, bool to_head)
 {
     std::string bytes;
-    bytes.reserve(512 + out.body.size());
+    bytes.reserve(head_bytes);
     bytes.append("HTTP/1.1 ").append(std::to_string(out.status)).append(" ");
     bytes.append(reason_of(out.status)).append("\r\n");
     append_fields(bytes, out.fields);
-    const bool bodyless = to_head || out.status == no_content || out.status == not_modified ||
-                          out.status < first_final_status;
-    if (!bodyless) {
+    if (sends_body(out, to_head)) {
         append_length(bytes, out.body.size());
     }
     if (!out.keep_alive) {
         bytes.append("Connection: close\r\n");
     }
-    bytes.append("\r\n");
-    if (!bodyless) {
-        bytes.append(out.body);
-    }
-    return bytes;
+    return bytes.append("\r\n");
+}
+
+bool sends_body(const response& out, bool to_head)
+{
+    return !to_head && out.status != no_content && out.status != not_modified &&
+           out.status >= first_final_status;
 }
 
 std::string_view reason_of(int status)
--- a/src/azureshore/http1/message_reader.cpp
+++ b/src/azureshore/http1/message_reader.cpp
@@ -11,6 +11,8 @@
 constexpr int first_final_status = 200;
 // The empty line that ends a header.
 constexpr std::size_t header_end_bytes = 2;
+// Memory for a body of unknown length begins with this and doubles.
+constexpr std::size_t first_body_bytes = 4UL * 1024UL;
 
 // Whether a character may stand in a token (RFC 9110, section 5.6.2).
 bool is_token_character(char letter)
@@ -64,10 +66,22 @@
         this->method_done = this->kind == message_kind::response;
         this->target.clear();
         this->fields.clear();
-        this->body.clear();
+        // Assignment would keep the memory.
+        std::string().swap(this->body);
+        this->body_granted = 0;
         this->in_value = false;
     }
 
+    [[nodiscard]] std::size_t held_bytes() const
+    {
+        return this->head_memory() + std::max(this->body.size(), this->body_granted);
+    }
+
+    [[nodiscard]] std::size_t head_memory() const
+    {
+        return this->header_bytes + this->fields.capacity() * sizeof(net::field);
+    }
+
     http_parser engine{};
     message_kind kind;
     reader_limits limits;
@@ -83,6 +97,8 @@
     std::string target;
     std::vector<net::field> fields;
     std::string body;
+    std::size_t body_granted = 0;
+    std::function<bool(std::size_t)> may_take;
 
 private:
     static parser& self(http_parser* from) { return *static_cast<parser*>(from->data); }
@@ -243,9 +259,26 @@
             this->now = read_state::body_too_large;
             return -1;
         }
+        if (sized && !this->no_body && !this->take_memory(this->engine.content_length)) {
+            return -1;
+        }
         return this->no_body ? 1 : 0;
     }
 
+    // Makes room for a body of that many bytes.
+    bool take_memory(std::size_t bytes)
+    {
+        if (bytes > this->body_granted) {
+            if (this->may_take && !this->may_take(this->head_memory() + bytes)) {
+                this->now = read_state::no_memory;
+                return false;
+            }
+            this->body_granted = bytes;
+        }
+        this->body.reserve(std::min(bytes, this->limits.max_body_bytes));
+        return true;
+    }
+
     // White space after a value is not part of it (RFC 9112, section 5.1).
     void trim_values()
     {
@@ -286,6 +319,11 @@
             this->now = read_state::body_too_large;
             return 1;
         }
+        const auto needed = this->body.size() + length;
+        if (needed > this->body_granted &&
+            !this->take_memory(std::max({needed, 2 * this->body.size(), first_body_bytes}))) {
+            return 1;
+        }
         this->body.append(at, length);
         return 0;
     }
@@ -382,11 +420,27 @@
     return taken;
 }
 
+void message_reader::discard()
+{
+    this->inner->reset();
+    this->inner->fields.shrink_to_fit();
+}
+
 void message_reader::set_limits(reader_limits limits)
 {
     this->inner->limits = limits;
 }
 
+void message_reader::set_memory_check(std::function<bool(std::size_t)> may_take)
+{
+    this->inner->may_take = std::move(may_take);
+}
+
+std::size_t message_reader::held_bytes() const
+{
+    return this->inner->held_bytes();
+}
+
 void message_reader::expect_no_body(bool none)
 {
     this->inner->no_body = none;
--- a/src/azureshore/http1/message_reader.hpp
+++ b/src/azureshore/http1/message_reader.hpp
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string_view>
 
@@ -16,6 +17,8 @@
     malformed,
     header_too_large,
     body_too_large,
+    // The memory for the body was refused.
+    no_memory,
 };
 
 struct reader_limits {
@@ -62,6 +65,18 @@
     // Limits for the rest of the message under way and for those to come.
     void set_limits(reader_limits limits);
 
+    // Asked before memory is taken for a body: with the whole of an announced length, and with
+    // twice the bytes so far when a body of unknown length has to grow, as it is copied then. The
+    // number is that of all bytes that the message takes from then on; false ends the message with
+    // `no_memory`. Must not throw.
+    void set_memory_check(std::function<bool(std::size_t message_bytes)> may_take);
+
+    // Drops what came of the message under way, and its memory.
+    void discard();
+
+    // Bytes of memory that the message under way takes, with what was granted for its body.
+    [[nodiscard]] std::size_t held_bytes() const;
+
     // Before a response is read: whether it answers a HEAD request and so has no body.
     void expect_no_body(bool none);
 
--- a/tests/http1/allowed_forms_tests.cpp
+++ b/tests/http1/allowed_forms_tests.cpp
@@ -59,6 +59,8 @@
         return "header too large";
     case read_state::body_too_large:
         return "body too large";
+    case read_state::no_memory:
+        return "no memory";
     }
     return "";
 }
