--- a/tests/hostile_callers/hostile_callers_tests.cpp
+++ b/tests/hostile_callers/hostile_callers_tests.cpp
@@ -63,11 +63,11 @@
     std::unique_ptr<local_deployment> place;
     std::size_t most_descriptors = 0;
 
-    besieged_gateway()
+    explicit besieged_gateway(const deployment_plan& plan = small_machine())
     {
         {
             const lowered_descriptor_limit lowered;
-            this->place = std::make_unique<local_deployment>(small_machine(), this->watch);
+            this->place = std::make_unique<local_deployment>(plan, this->watch);
         }
         BOOST_REQUIRE(this->place->wait_until_all_ready());
         BOOST_REQUIRE(eventually([this] { return this->ordinary_status() == status_ok; }));
@@ -263,4 +263,26 @@
     gateway.bear({reading, deaf});
 }
 
+// Guards against limits that refuse what a caller may send when no other sends anything, and
+// against copies of a body.
+BOOST_AUTO_TEST_CASE(one_body_of_64_mebibytes_is_served_by_a_machine_of_112_megabytes)
+{
+    constexpr std::size_t machine_mb = 112;
+    auto plan = small_machine();
+    plan.memory_mb = machine_mb;
+    plan.max_body_bytes = 64 * mebibyte;
+    besieged_gateway gateway(plan);
+    auto request = make_request("large", "/orders/large", false, std::chrono::seconds(20));
+    request.body.assign(plan.max_body_bytes, 'x');
+    gateway.watch.sent("large", false, request.target);
+    caller self;
+    const auto answer = self.ask(gateway.vm().callers, request, std::chrono::seconds(20));
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer->status == status_ok);
+#ifndef __SANITIZE_ADDRESS__
+    BOOST_TEST(gateway.most_resident_kb() <= machine_mb * 1'000'000 / 1024);
+    BOOST_TEST_MESSAGE("resident at most " << gateway.most_resident_kb() << " kB");
+#endif
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/http1/message_reader_tests.cpp
+++ b/tests/http1/message_reader_tests.cpp
@@ -262,4 +262,33 @@
     BOOST_TEST(write_response(answer, false) == "HTTP/1.1 204 No Content\r\n\r\n");
 }
 
+// Guards against bodies that take memory before anyone agrees.
+BOOST_AUTO_TEST_CASE(memory_for_a_body_is_asked_for_before_it_is_taken)
+{
+    const std::string head = "POST / HTTP/1.1\r\nHost: a\r\n";
+    std::vector<std::size_t> asked;
+    message_reader reader(message_kind::request, {});
+    reader.set_memory_check([&asked](std::size_t bytes) {
+        asked.push_back(bytes);
+        return bytes < 50'000;
+    });
+    reader.feed(head + "Content-Length: 3000\r\n\r\nbegin");
+    BOOST_REQUIRE(asked.size() == 1U);
+    BOOST_TEST(asked.front() >= 3000U);
+    BOOST_TEST(reader.held_bytes() >= 3000U);
+    reader.discard();
+    BOOST_TEST(reader.held_bytes() == 0U);
+    reader.feed(head + "Content-Length: 60000\r\n\r\n");
+    BOOST_TEST((reader.state() == read_state::no_memory));
+    reader.discard();
+    reader.feed(head + "Transfer-Encoding: chunked\r\n\r\nffff\r\n");
+    asked.clear();
+    for (int i = 0; i < 20 && reader.state() == read_state::need_more; ++i) {
+        reader.feed(std::string(2000, 'x'));
+    }
+    BOOST_TEST((reader.state() == read_state::no_memory));
+    // Doubled from 4 KiB, so that few bytes are copied.
+    BOOST_TEST(asked.size() <= 5U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
