--- a/src/azureshore/gateway/internal/backend_connection.cpp
+++ b/src/azureshore/gateway/internal/backend_connection.cpp
@@ -14,6 +14,8 @@
 constexpr http1::reader_limits answer_limits{64UL * 1024UL, answer_memory::max_bytes_for_large / 2};
 // Bytes that stay unacknowledged for this long end a connection: its peer has no power or no path.
 constexpr int unacknowledged_ms = 2000;
+// Bytes of an answer that may wait in the kernel, where they count as this process's memory.
+constexpr int receive_buffer_bytes = 128 * 1024;
 constexpr duration connect_limit = std::chrono::milliseconds(1000);
 
 } // namespace
@@ -44,6 +46,10 @@
 {
     const auto limit = this->current->timeout;
     this->set_timer(limit > duration{} ? std::min(limit, connect_limit) : connect_limit);
+    // Set before the connection is made, when the window is agreed. An error ends the connecting.
+    asio::error_code ignored;
+    this->socket.open(this->where.protocol(), ignored);
+    this->socket.set_option(asio::socket_base::receive_buffer_size(receive_buffer_bytes), ignored);
     this->socket.async_connect(this->where, [self = this->shared_from_this()](
                                                 const asio::error_code& error) {
         if (self->closed) {
@@ -54,10 +60,10 @@
             return;
         }
         self->connected = true;
-        asio::error_code ignored;
-        self->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        asio::error_code unsupported;
+        self->socket.set_option(asio::ip::tcp::no_delay(true), unsupported);
         using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-        self->socket.set_option(user_timeout(unacknowledged_ms), ignored);
+        self->socket.set_option(user_timeout(unacknowledged_ms), unsupported);
         self->write();
         self->read();
     });
--- a/src/azureshore/settings/gateway_settings.cpp
+++ b/src/azureshore/settings/gateway_settings.cpp
@@ -9,7 +9,7 @@
 constexpr std::int64_t hour_ms = 3'600'000;
 constexpr std::int64_t most_sends = 1'000'000;
 constexpr std::int64_t most_lines = 1'000'000;
-constexpr std::int64_t least_memory_mb = 48;
+constexpr std::int64_t least_memory_mb = 1;
 constexpr std::int64_t most_memory_mb = 100'000'000;
 
 std::vector<rule> place_rules(gateway_settings& target)
@@ -68,7 +68,10 @@
          "Most log lines a second; more are counted and dropped.",
          to_size(target.log_lines_per_second)},
         {"limits.memory", value_kind::whole_number, false, "the system's", least_memory_mb,
-         most_memory_mb, "Memory of the machine in MB (1,000,000 bytes).",
+         most_memory_mb,
+         "Memory of the machine in MB (1,000,000 bytes). What callers and backend servers send "
+         "takes "
+         "at most this less a reserve of 28 to 128 MB.",
          to_size(target.memory_mb)},
     };
 }
