--- a/src/azureshore/gateway/internal/caller_connection.cpp
+++ b/src/azureshore/gateway/internal/caller_connection.cpp
@@ -1,6 +1,6 @@
 #include "azureshore/gateway/internal/caller_connection.hpp"
 
-#include <asio/write.hpp>
+#include <asio/post.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -16,22 +16,38 @@
 constexpr int status_unavailable = 503;
 // Seconds until a daemon that has just started is likely to have a configuration.
 constexpr std::string_view retry_after_start = "0.1";
+// Seconds in which some of the bodies that take all memory are likely to have been passed on.
+constexpr std::string_view retry_after_memory = "0.3";
 
-// How long a closing connection is read, so that the answer is not lost by a reset.
-constexpr duration linger_time = std::chrono::milliseconds(500);
+// Bytes of a closing connection that are read at most.
+constexpr std::size_t linger_bytes = 4UL * 1024UL * 1024UL;
+// A larger buffer isn't kept once it is empty.
+constexpr std::size_t kept_buffer_bytes = 16UL * 1024UL;
 // Bytes that a caller may send ahead of the answer that is due next; more is left in the socket.
 constexpr std::size_t most_ahead = read_ahead_limits{}.request_bytes;
 // A body may take this many times longer than a header.
 constexpr int body_patience = 4;
-// An answer that its caller doesn't read is given up after this time.
-constexpr duration write_limit = std::chrono::seconds(20);
+
+// Clearing or assigning would keep the memory.
+void free_bytes(std::string& of)
+{
+    std::string().swap(of);
+}
 
 } // namespace
 
 caller_connection::caller_connection(asio::ip::tcp::socket accepted, caller_owner& port)
     : socket(std::move(accepted)), owner(port), read_timer(this->socket.get_executor()),
-      write_timer(this->socket.get_executor()), reader(http1::message_kind::request, this->allowed)
+      write_timer(this->socket.get_executor()), reader(http1::message_kind::request, this->allowed),
+      incoming_share(this->new_share()), outgoing_share(port.memory())
+{
+    this->reader.set_memory_check(
+        [this](std::size_t bytes) { return this->take_memory(bytes + this->pending.size()); });
+}
+
+std::shared_ptr<memory_share> caller_connection::new_share() const
 {
+    return std::make_shared<memory_share>(this->owner.memory());
 }
 
 void caller_connection::start()
@@ -39,6 +55,7 @@
     asio::error_code ignored;
     this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     this->set_read_timer(this->owner.limits().idle_timeout);
+    this->place.emplace(this->owner.connections_bound(), [this] { this->close(); });
     this->read();
 }
 
@@ -63,7 +80,7 @@
 
 void caller_connection::read()
 {
-    if (this->reading || this->now == phase::closed || this->bytes_ahead() >= most_ahead) {
+    if (this->reading || this->now == phase::closed || !this->may_read()) {
         return;
     }
     this->reading = true;
@@ -82,13 +99,51 @@
         });
 }
 
+// Without requests before it, the memory of the one that is read is asked for as it is parsed.
+// Otherwise the answer that is due next leads to another try.
+bool caller_connection::may_read()
+{
+    if (this->exchanges.empty()) {
+        return true;
+    }
+    if (this->bytes_ahead() >= most_ahead) {
+        return false;
+    }
+    const bool granted =
+        this->take_memory(this->reader.held_bytes() + this->pending.size() + this->buffer.size());
+    if (!granted) {
+        this->stop_read_timer();
+    }
+    return granted;
+}
+
+// Asks for what the request that is read takes, with the bytes behind it. Others may give up their
+// memory for it, among them the answer that this connection writes: then it has ended.
+bool caller_connection::take_memory(std::size_t bytes)
+{
+    const bool granted = this->incoming_share->resize(bytes);
+    if (this->now == phase::closed) {
+        this->incoming_share->force(0);
+        return false;
+    }
+    return granted;
+}
+
 void caller_connection::bytes_came(std::size_t count)
 {
     if (this->now == phase::open) {
         this->pending.append(this->buffer.data(), count);
         this->last_read = steady_now();
+        this->incoming_share->progressed(count);
         this->take_bytes();
     }
+    else {
+        this->dropped += count;
+        if (this->dropped > linger_bytes) {
+            this->close();
+            return;
+        }
+    }
     this->read();
 }
 
@@ -101,20 +156,42 @@
            (this->exchanges.has_room() && this->owner.keeps_connections());
 }
 
+http1::read_state caller_connection::feed_reader(std::string_view bytes, std::size_t& used)
+{
+    this->parsing = true;
+    const auto taken = this->reader.feed(bytes);
+    this->parsing = false;
+    used += taken;
+    this->message_bytes += taken;
+    return this->reader.state();
+}
+
 void caller_connection::take_bytes()
 {
     std::size_t used = 0;
     while (used < this->pending.size() && this->may_parse()) {
         this->update_limits();
-        const auto taken = this->reader.feed(std::string_view(this->pending).substr(used));
-        used += taken;
-        this->message_bytes += taken;
-        if (this->reader.state() == http1::read_state::need_more) {
+        const auto state = this->feed_reader(std::string_view(this->pending).substr(used), used);
+        const bool sound =
+            state == http1::read_state::need_more || state == http1::read_state::complete;
+        if (sound && !this->take_memory(this->reader.held_bytes() + this->pending.size() - used)) {
+            this->reject_no_memory();
+            break;
+        }
+        if (state == http1::read_state::need_more) {
             break;
         }
         this->message_ended();
     }
+    if (this->now != phase::open) {
+        this->drop_input();
+        return;
+    }
     this->pending.erase(0, used);
+    if (this->pending.empty() && this->pending.capacity() > kept_buffer_bytes) {
+        free_bytes(this->pending);
+    }
+    this->incoming_share->force(this->reader.held_bytes() + this->pending.size());
     this->update_read_timer();
 }
 
@@ -126,6 +203,9 @@
     case http1::read_state::complete:
         this->request_complete();
         return;
+    case http1::read_state::no_memory:
+        this->reject_no_memory();
+        return;
     case http1::read_state::malformed:
         this->reject(status_bad_request, "malformed");
         return;
@@ -157,8 +237,13 @@
 {
     this->stop_read_timer();
     this->continue_written = false;
+    this->stall_watched = false;
+    this->incoming_share->must_stay();
+    this->incoming_share->force(this->reader.held_bytes());
     whole_request next{this->reader.take_request(), this->last_read,
                        std::exchange(this->message_bytes, 0)};
+    next.request.memory = std::exchange(this->incoming_share, this->new_share());
+    this->incoming_share->force(this->pending.size());
     if (this->exchanges.empty() || this->owner.may_run_concurrently(next.request)) {
         this->begin(std::move(next));
         return;
@@ -175,11 +260,17 @@
     this->no_more_requests = !next.request.keep_alive;
     this->exchanges.add(
         {number, next.bytes, next.request.method == "HEAD", next.request.keep_alive});
+    this->update_place();
     this->owner.handle(number, std::move(next.request), next.arrived);
 }
 
 void caller_connection::answer(request_number number, http1::response answer)
 {
+    if (!answer.memory) {
+        const auto share = this->new_share();
+        share->force(answer.body.size());
+        answer.memory = share;
+    }
     if (this->exchanges.answer(number, std::move(answer))) {
         this->send_next();
     }
@@ -196,129 +287,86 @@
                  {{"Retry-After", std::string(retry_after_start)}});
 }
 
-void caller_connection::reject(int status, std::string_view cause, std::vector<net::field> fields)
-{
-    this->owner.rejected(status, cause);
-    this->stop_read_timer();
-    this->no_more_requests = true;
-    http1::response refused;
-    refused.status = status;
-    refused.fields = std::move(fields);
-    refused.keep_alive = false;
-    this->exchanges.add_refusal(std::move(refused));
-    this->send_next();
-}
-
-void caller_connection::send_continue()
+void caller_connection::reject_no_memory()
 {
-    this->continue_written = true;
-    this->write("HTTP/1.1 100 Continue\r\n\r\n", &caller_connection::continue_sent);
+    this->reject(status_unavailable, "no_memory",
+                 {{"Retry-After", std::string(retry_after_memory)}});
 }
 
-void caller_connection::continue_sent()
+// From now on the request that is read may be refused when memory runs short.
+void caller_connection::may_stall()
 {
-    this->send_next();
+    this->stall_watched = true;
+    this->incoming_share->may_be_reclaimed([this] { this->request_stalled(); });
 }
 
-void caller_connection::send_next()
+// While no time runs, it isn't the caller who has stopped.
+void caller_connection::request_stalled()
 {
-    if (this->now == phase::open && !this->writing && this->exchanges.answer_is_due()) {
-        this->write(this->exchanges.write_first(this->owner.keeps_connections()),
-                    &caller_connection::answer_sent);
+    if (this->header_timer) {
+        this->reject(status_request_timeout, "stopped_arriving");
+        return;
     }
+    this->reject_no_memory();
 }
 
-void caller_connection::write(std::string bytes, void (caller_connection::*then)())
+// The holder for whom this memory is given up may wait for an answer to one of this connection's
+// requests, so the owner is told of their end only after that holder has gone on.
+void caller_connection::answer_stalled()
 {
-    this->writing = true;
-    this->outgoing = std::move(bytes);
-    this->set_timer(this->write_timer, write_limit, &caller_connection::close);
-    asio::async_write(
-        this->socket, asio::buffer(this->outgoing),
-        [then, self = this->shared_from_this()](const asio::error_code& error, std::size_t) {
-            self->writing = false;
-            if (self->now == phase::closed) {
-                return;
-            }
-            if (error) {
-                self->close();
-                return;
-            }
-            stop_timer(self->write_timer);
-            (self.get()->*then)();
-        });
+    this->end();
+    asio::post(this->socket.get_executor(),
+               [self = this->shared_from_this()] { self->report_end(); });
 }
 
-void caller_connection::answer_sent()
+void caller_connection::reject(int status, std::string_view cause, std::vector<net::field> fields)
 {
-    if (!this->exchanges.first_is_sent()) {
-        this->linger();
+    if (this->now != phase::open) {
         return;
     }
-    if (this->exchanges.empty()) {
-        if (this->held) {
-            this->begin(*std::exchange(this->held, std::nullopt));
-        }
-        else if (!this->reader.begun()) {
-            this->set_read_timer(this->owner.limits().idle_timeout);
-        }
-    }
-    this->take_bytes();
+    this->owner.rejected(status, cause);
+    this->stop_read_timer();
+    this->no_more_requests = true;
+    this->drop_input();
+    http1::response refused;
+    refused.status = status;
+    refused.fields = std::move(fields);
+    refused.keep_alive = false;
+    this->exchanges.add_refusal(std::move(refused));
+    this->update_place();
     this->send_next();
-    this->read();
 }
 
-// Closes the sending side and reads on for a moment: closing with unread bytes would reset the
-// connection, and the caller could lose the answer.
-void caller_connection::linger()
+// Drops the request that is being read and the bytes behind it.
+void caller_connection::drop_input()
 {
-    this->now = phase::lingering;
-    this->pending.clear();
-    if (!this->exchanges.empty()) {
-        this->owner.cut_off(this->exchanges.size());
+    this->stall_watched = false;
+    this->message_bytes = 0;
+    this->incoming_share->must_stay();
+    this->incoming_share->force(0);
+    if (!this->parsing) {
+        this->reader.discard();
+        free_bytes(this->pending);
     }
-    this->drop_requests();
-    asio::error_code ignored;
-    this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    this->set_read_timer(linger_time);
-    this->read();
 }
 
-void caller_connection::drop_requests()
+// The connection may be closed for a new one while it has no request.
+void caller_connection::update_place()
 {
-    this->held.reset();
-    for (const auto each : this->exchanges.clear()) {
-        this->owner.caller_left(each);
+    if (this->exchanges.empty()) {
+        this->place->waits();
     }
-}
-
-void caller_connection::peer_ended()
-{
-    // A caller that has closed its sending side has left: it could not be told apart from one
-    // that has closed both.
-    this->close();
-}
-
-void caller_connection::close_if_idle()
-{
-    if (this->now == phase::open && this->in_flight() == 0) {
-        this->close();
+    else {
+        this->place->works();
     }
 }
 
-void caller_connection::close()
+void caller_connection::drop_requests()
 {
-    if (this->now == phase::closed) {
-        return;
+    this->held.reset();
+    for (const auto each : this->exchanges.clear()) {
+        this->owner.caller_left(each);
     }
-    const auto self = this->shared_from_this();
-    this->now = phase::closed;
-    asio::error_code ignored;
-    this->socket.close(ignored);
-    stop_timer(this->read_timer);
-    stop_timer(this->write_timer);
-    this->drop_requests();
-    this->owner.closed(self);
 }
 
 void caller_connection::set_timer(asio::steady_timer& which, duration wait,
@@ -372,10 +420,14 @@
     if (!this->exchanges.empty() && (!this->may_parse() || this->bytes_ahead() >= most_ahead ||
                                      this->reader.expects_continue())) {
         this->stop_read_timer();
+        if (!this->stall_watched) {
+            this->may_stall();
+        }
         return;
     }
     if (!this->header_timer) {
         this->header_timer = true;
+        this->may_stall();
         this->set_read_timer(this->owner.limits().header_timeout);
     }
     if (this->reader.expects_continue() && !this->continue_written) {
--- a/src/azureshore/gateway/internal/caller_connection.hpp
+++ b/src/azureshore/gateway/internal/caller_connection.hpp
@@ -3,7 +3,9 @@
 #include "azureshore/balance/traffic_configuration.hpp"
 #include "azureshore/core/ids.hpp"
 #include "azureshore/core/time.hpp"
+#include "azureshore/gateway/internal/connection_limit.hpp"
 #include "azureshore/gateway/internal/exchange_queue.hpp"
+#include "azureshore/gateway/internal/request_memory.hpp"
 #include "azureshore/http1/message_reader.hpp"
 
 #include <asio/ip/tcp.hpp>
@@ -47,12 +49,19 @@
     // Whether an operator has set the limits.
     [[nodiscard]] virtual bool limits_known() const = 0;
     [[nodiscard]] virtual bool keeps_connections() const = 0;
+    // The account of what callers' messages take, and the bound of their connections.
+    [[nodiscard]] virtual const std::shared_ptr<request_memory>& memory() const = 0;
+    virtual connection_limit& connections_bound() = 0;
 };
 
 // One connection of a caller. It reads further requests while earlier ones run, begins those that
 // may run concurrently, and sends the answers in the order of the requests. Any other request is
 // held until all before it are answered and the connection is kept, so that one which may not run
 // twice never runs on a connection that closes before its turn.
+//
+// What it reads and writes is in the account of memory. When room runs short there, a request that
+// has stopped arriving is refused behind the answers to those before it, and the connection of a
+// caller that doesn't read an answer is closed.
 class caller_connection : public std::enable_shared_from_this<caller_connection> {
 public:
     caller_connection(asio::ip::tcp::socket accepted, caller_owner& port);
@@ -77,6 +86,10 @@
 
     void read();
     void bytes_came(std::size_t count);
+    [[nodiscard]] bool may_read();
+    [[nodiscard]] bool take_memory(std::size_t bytes);
+    [[nodiscard]] std::shared_ptr<memory_share> new_share() const;
+    [[nodiscard]] http1::read_state feed_reader(std::string_view bytes, std::size_t& used);
     [[nodiscard]] std::size_t bytes_ahead() const;
     [[nodiscard]] bool may_parse() const;
     void take_bytes();
@@ -86,14 +99,24 @@
     void begin(whole_request next);
     void reject(int status, std::string_view cause, std::vector<net::field> fields = {});
     void reject_too_large(int status, std::string_view cause);
+    void reject_no_memory();
+    void may_stall();
+    void request_stalled();
+    void answer_stalled();
     void send_continue();
     void send_next();
-    void write(std::string bytes, void (caller_connection::*then)());
+    void write(answer_parts parts, void (caller_connection::*then)());
+    [[nodiscard]] std::size_t note_sent(const asio::error_code& error, std::size_t total);
+    void written(const asio::error_code& error, void (caller_connection::*then)());
     void continue_sent();
     void answer_sent();
     void linger();
     void drop_requests();
+    void drop_input();
+    void update_place();
     void peer_ended();
+    void end();
+    void report_end();
     void set_timer(asio::steady_timer& which, duration wait, void (caller_connection::*expired)());
     static void stop_timer(asio::steady_timer& which);
     void set_read_timer(duration wait);
@@ -120,10 +143,26 @@
     exchange_queue exchanges;
     // A request that has come whole and waits for the answers to those before it.
     std::optional<whole_request> held;
-    std::string outgoing;
+    answer_parts outgoing;
+    // Bytes of it that are sent.
+    std::size_t sent = 0;
+    // What the request that is being read takes, with the bytes behind it; a whole request keeps
+    // it.
+    std::shared_ptr<memory_share> incoming_share;
+    memory_share outgoing_share;
+    std::optional<connection_limit::place> place;
+    // Requests without an answer when the connection ended, until the owner is told.
+    std::vector<request_number> unanswered;
+    // Bytes that came while lingering.
+    std::size_t dropped = 0;
     phase now = phase::open;
     bool reading = false;
     bool writing = false;
+    // The reader is taking bytes of `pending`: neither may be changed.
+    bool parsing = false;
+    // The request that is being read may be refused when memory runs short.
+    bool stall_watched = false;
+    bool end_reported = false;
     // No further request is read: the last one closes the connection.
     bool no_more_requests = false;
     bool continue_written = false;
--- a/src/azureshore/gateway/internal/exchange_queue.cpp
+++ b/src/azureshore/gateway/internal/exchange_queue.cpp
@@ -67,17 +67,21 @@
     return !this->exchanges.empty() && this->exchanges.front().answer.has_value();
 }
 
-std::string exchange_queue::write_first(bool daemon_keeps_connections)
+answer_parts exchange_queue::write_first(bool daemon_keeps_connections)
 {
     auto& first = this->exchanges.front();
     const bool stops_here = !daemon_keeps_connections && this->exchanges.size() == 1;
     auto& answer = *first.answer;
     answer.keep_alive = answer.keep_alive && first.request.keep_alive && !stops_here;
     first.request.keep_alive = answer.keep_alive;
-    auto bytes = http1::write_response(answer, first.request.is_head);
-    answer.body.clear();
-    answer.body.shrink_to_fit();
-    return bytes;
+    const bool is_head = first.request.is_head;
+    answer_parts parts;
+    parts.head = http1::write_response_head(answer, is_head);
+    if (http1::sends_body(answer, is_head)) {
+        parts.body = std::move(answer.body);
+    }
+    answer = {};
+    return parts;
 }
 
 bool exchange_queue::first_is_sent()
