--- a/src/azureshore/gateway/internal/caller_connection.cpp
+++ b/src/azureshore/gateway/internal/caller_connection.cpp
@@ -22,7 +22,7 @@
 // Bytes of a closing connection that are read at most.
 constexpr std::size_t linger_bytes = 4UL * 1024UL * 1024UL;
 // A larger buffer isn't kept once it is empty.
-constexpr std::size_t kept_buffer_bytes = 16UL * 1024UL;
+constexpr std::size_t kept_buffer_bytes = 2UL * 1024UL;
 // Bytes that a caller may send ahead of the answer that is due next; more is left in the socket.
 constexpr std::size_t most_ahead = read_ahead_limits{}.request_bytes;
 // A body may take this many times longer than a header.
