Take only status lines of the grammar for answers

http_parser reads any number as a status, and each one below 200 passed for that of an interim answer. A backend server that sent 000, 0, 00, 099, 20, 101 or 199 left its caller without an answer until the deadline; 600 reached a caller, and 0200 counted as 200 in answers and health checks.

A status line is now HTTP/1.0 or HTTP/1.1, one space, three digits from 100 to 599 other than 101, and then a space or the end of the line. message_reader checks each byte before http_parser gets it; the HTTP client of the store checks each line that libcurl shows. Interim answers are at most eight, and malformed with a length or a coding. 204 and 304 have no body whatever length they name; a gateway waited for one until the deadline. A malformed answer closes its connection, is logged as malformed_answer and counted; it is a failure of its server, and no longer a reason to suspect the request of ending processes.

--- a/src/azureshore/balance/dispatch_types.hpp
+++ b/src/azureshore/balance/dispatch_types.hpp
@@ -72,8 +72,7 @@
     // Status of the answer, even if it states that the request did not run or bears no signature.
     // Zero without an answer.
     int status = 0;
-    // Whether the connection closed or the bytes were not a valid answer, as when a process
-    // crashes.
+    // Whether the connection closed, as when a process crashes.
     bool connection_lost = false;
     // Whether the answer was broken off because it became too large to hold.
     bool answer_too_large = false;
--- a/src/azureshore/gateway/backend_pool.cpp
+++ b/src/azureshore/gateway/backend_pool.cpp
@@ -46,8 +46,9 @@
 
 class backend_pool::state : public std::enable_shared_from_this<backend_pool::state> {
 public:
-    state(asio::io_context& context, dialect spelling)
-        : executor(context), words(std::move(spelling))
+    state(asio::io_context& context, dialect spelling,
+          std::function<void(const malformed_answer&)> on_malformed)
+        : executor(context), words(std::move(spelling)), malformed(std::move(on_malformed))
     {
     }
 
@@ -66,6 +67,7 @@
         };
         next.done = [this, order, connection,
                      done = std::move(done)](const detail::exchange_result& result) {
+            this->report_malformed(order.backend, "", result);
             const auto reading = this->read_probe(order, result);
             if (reading) {
                 this->held[order.probe] = {order.backend, connection};
@@ -95,9 +97,10 @@
         next.matches = [this, id](const http1::response& answer) {
             return net::find_field(answer.fields, this->words.request_id) == id;
         };
-        next.done = [this, order, connection,
+        next.done = [this, order, connection, id,
                      done = std::move(done)](detail::exchange_result result) {
             this->running.erase(order.attempt);
+            this->report_malformed(order.backend, id, result);
             const auto ended = this->read_result(result);
             if (ended.end == balance::attempt_end::unknown) {
                 connection->abandon();
@@ -155,6 +158,14 @@
         connection_ptr connection;
     };
 
+    void report_malformed(const backend_id& backend, const std::string& request,
+                          const detail::exchange_result& result) const
+    {
+        if (result.end == exchange_end::malformed && this->malformed) {
+            this->malformed({backend, request, result.first_line});
+        }
+    }
+
     connection_ptr connection_for(const balance::attempt_order& order)
     {
         if (order.probe) {
@@ -275,13 +286,15 @@
 
     asio::io_context& executor;
     dialect words;
+    std::function<void(const malformed_answer&)> malformed;
     std::unordered_map<backend_id, std::vector<connection_ptr>> idle;
     std::unordered_map<balance::probe_number, held_connection> held;
     std::unordered_map<attempt_number, connection_ptr> running;
 };
 
-backend_pool::backend_pool(asio::io_context& executor, dialect words)
-    : inner(std::make_shared<state>(executor, std::move(words)))
+backend_pool::backend_pool(asio::io_context& executor, dialect words,
+                           std::function<void(const malformed_answer&)> malformed)
+    : inner(std::make_shared<state>(executor, std::move(words), std::move(malformed)))
 {
 }
 
--- a/src/azureshore/gateway/backend_pool.hpp
+++ b/src/azureshore/gateway/backend_pool.hpp
@@ -17,11 +17,22 @@
 // The answer is empty unless the attempt was answered.
 using attempt_done = std::function<void(const balance::attempt_result&, http1::response)>;
 
+// Bytes of a backend server that are no answer.
+struct malformed_answer {
+    backend_id backend;
+    // The identifier that the caller gave the request; empty for a probe.
+    std::string request;
+    // At most 64 printable characters.
+    std::string first_line;
+};
+
 // Connections to backend servers, kept open between requests. A probe keeps its connection for
 // the attempt that may follow, so an attempt starts on a connection that has just answered.
 class backend_pool {
 public:
-    backend_pool(asio::io_context& executor, dialect words);
+    // `malformed` is told of each answer that can't be read, before its probe or attempt ends.
+    backend_pool(asio::io_context& executor, dialect words,
+                 std::function<void(const malformed_answer&)> malformed);
     ~backend_pool();
     backend_pool(const backend_pool&) = delete;
     backend_pool& operator=(const backend_pool&) = delete;
--- a/src/azureshore/gateway/gateway.cpp
+++ b/src/azureshore/gateway/gateway.cpp
@@ -56,7 +56,8 @@
 public:
     state(asio::io_context& context, const gateway_settings& settings, dialect spelling,
           observe::decision_hook decided, std::function<void(std::uint64_t)> suspected)
-        : executor(context), words(std::move(spelling)), pool(context, this->words),
+        : executor(context), words(std::move(spelling)),
+          pool(context, this->words, [this](const auto& answer) { this->report(answer); }),
           log(std::move(decided)),
           decisions(settings.data_centre, settings.bounds, this->make_hooks(std::move(suspected))),
           port(context, settings.callers, this->make_port_hooks())
@@ -83,6 +84,7 @@
         const auto pipelines = this->port.pipelines();
         counters.add("azureshore_pipelined_requests_total", {}, pipelines.begun_early);
         counters.add("azureshore_cut_off_requests_total", {}, pipelines.cut_off);
+        counters.add("azureshore_malformed_answers_total", {}, this->malformed_answers);
         counters.set("azureshore_held_answer_bytes", {},
                      static_cast<double>(this->pool.held_bytes()));
         auto text = counters.to_text() + this->client_errors.to_text();
@@ -228,6 +230,17 @@
         }
     }
 
+    void report(const malformed_answer& answer)
+    {
+        ++this->malformed_answers;
+        if (this->log) {
+            this->log({"malformed_answer",
+                       {{"request", answer.request},
+                        {"backend", answer.backend.value},
+                        {"read", answer.first_line}}});
+        }
+    }
+
     void count_client_error(int status, std::string_view cause)
     {
         this->client_errors.add(
@@ -295,6 +308,7 @@
     std::unordered_map<request_number, stored_request> requests;
     detail::request_times times;
     observe::metrics client_errors;
+    std::uint64_t malformed_answers = 0;
 };
 
 http_gateway::http_gateway(asio::io_context& executor, const gateway_settings& settings,
--- a/src/azureshore/gateway/internal/backend_connection.cpp
+++ b/src/azureshore/gateway/internal/backend_connection.cpp
@@ -122,8 +122,9 @@
             return;
         }
         if (this->reader.state() != http1::read_state::complete) {
-            const bool too_large = this->reader.state() != http1::read_state::malformed;
-            this->finish(too_large ? exchange_end::too_large : exchange_end::broken, {});
+            const bool malformed = this->reader.state() == http1::read_state::malformed;
+            this->finish(malformed ? exchange_end::malformed : exchange_end::too_large, {},
+                         this->reader.first_line());
             return;
         }
         this->memory_share.release();
@@ -160,7 +161,7 @@
     this->finish(exchange_end::broken, {});
 }
 
-void backend_connection::finish(exchange_end end, http1::response answer)
+void backend_connection::finish(exchange_end end, http1::response answer, std::string first_line)
 {
     this->timer.cancel();
     this->memory_share.release();
@@ -169,7 +170,7 @@
     if (end != exchange_end::answered || !this->keep) {
         this->close();
     }
-    done({end, std::move(answer)});
+    done({end, std::move(answer), std::move(first_line)});
 }
 
 void backend_connection::abandon()
--- a/src/azureshore/gateway/internal/backend_connection.hpp
+++ b/src/azureshore/gateway/internal/backend_connection.hpp
@@ -21,8 +21,10 @@
     answered,
     // No connection was made: no byte left.
     not_connected,
-    // The connection ended, or carried bytes that are no answer.
+    // The connection ended.
     broken,
+    // The connection carried bytes that are no answer.
+    malformed,
     // The answer is larger than this daemon can hold.
     too_large,
     timed_out,
@@ -31,6 +33,8 @@
 struct exchange_result {
     exchange_end end = exchange_end::broken;
     http1::response answer;
+    // If malformed: what the answer began with, fit for the log.
+    std::string first_line;
 };
 
 using exchange_done = std::function<void(exchange_result)>;
@@ -72,7 +76,7 @@
     void read();
     void bytes_came(std::size_t count);
     void take_answers();
-    void finish(exchange_end end, http1::response answer);
+    void finish(exchange_end end, http1::response answer, std::string first_line = {});
     void stream_ended(bool at_end);
     void close();
     void set_timer(duration wait);
--- a/src/azureshore/http1/message_reader.cpp
+++ b/src/azureshore/http1/message_reader.cpp
@@ -1,5 +1,7 @@
 #include "azureshore/http1/message_reader.hpp"
 
+#include "azureshore/net/status_line.hpp"
+
 #include <http_parser.h>
 
 #include <algorithm>
@@ -9,6 +11,10 @@
 namespace {
 
 constexpr int first_final_status = 200;
+constexpr int no_content = 204;
+constexpr int not_modified = 304;
+// Bytes of a malformed answer that are kept for the log.
+constexpr std::size_t kept_start_bytes = 64;
 // The empty line that ends a header.
 constexpr std::size_t header_end_bytes = 2;
 
@@ -32,7 +38,8 @@
         std::size_t used = 0;
         while (used < bytes.size() && this->now == read_state::need_more) {
             const auto part = bytes.substr(used);
-            if (!this->started && skip_empty_line(part)) {
+            if (!this->started && this->kind == message_kind::request &&
+                is_line_end(part.front())) {
                 ++used;
                 continue;
             }
@@ -52,20 +59,15 @@
 
     void reset()
     {
-        http_parser_init(&this->engine,
-                         this->kind == message_kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
-        this->engine.data = this;
+        this->begin_head();
         this->now = read_state::need_more;
-        this->started = false;
-        this->head_done = false;
         this->header_bytes = 0;
         this->trailer_bytes = 0;
+        this->interim_answers = 0;
         this->method.clear();
         this->method_done = this->kind == message_kind::response;
         this->target.clear();
-        this->fields.clear();
         this->body.clear();
-        this->in_value = false;
     }
 
     http_parser engine{};
@@ -83,16 +85,30 @@
     std::string target;
     std::vector<net::field> fields;
     std::string body;
+    // The first bytes of an answer.
+    std::string start;
 
 private:
-    static parser& self(http_parser* from) { return *static_cast<parser*>(from->data); }
-
-    // Empty lines before a message are allowed (RFC 9112, section 2.2).
-    static bool skip_empty_line(std::string_view part)
+    // Starts on the header of a message, or of an answer after an interim one.
+    void begin_head()
     {
-        return part.front() == '\r' || part.front() == '\n';
+        http_parser_init(&this->engine,
+                         this->kind == message_kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
+        this->engine.data = this;
+        this->started = false;
+        this->head_done = false;
+        this->interim_ended = false;
+        this->fields.clear();
+        this->in_value = false;
+        this->status_line.reset();
+        this->start.clear();
     }
 
+    static parser& self(http_parser* from) { return *static_cast<parser*>(from->data); }
+
+    // Empty lines before a request are allowed (RFC 9112, section 2.2).
+    static bool is_line_end(char first) { return first == '\r' || first == '\n'; }
+
     static const http_parser_settings& settings()
     {
         static const http_parser_settings made = make_settings();
@@ -127,11 +143,31 @@
 
     std::size_t execute(std::string_view part)
     {
+        if (!this->check_status_line(part)) {
+            this->now = read_state::malformed;
+            return 0;
+        }
         const auto used = http_parser_execute(&this->engine, &settings(), part.data(), part.size());
-        this->check();
+        if (this->interim_ended) {
+            this->begin_head();
+        }
+        else {
+            this->check();
+        }
         return used;
     }
 
+    // http_parser accepts any number as a status. The bytes of a status line that is none are not
+    // passed to it.
+    bool check_status_line(std::string_view part)
+    {
+        if (this->kind == message_kind::request || this->head_done) {
+            return true;
+        }
+        this->start += part.substr(0, kept_start_bytes - this->start.size());
+        return this->status_line.feed(part) != net::status_line_state::invalid;
+    }
+
     // Passes the parser no more bytes than the header may still have, so that the limit applies to
     // the bytes on the wire, however they are divided.
     std::size_t execute_header(std::string_view part)
@@ -233,17 +269,42 @@
         this->trim_values();
         // An offer to upgrade is declined by going on with this protocol.
         this->engine.upgrade = 0;
-        if (this->has_spaced_name() ||
-            (this->kind == message_kind::request && !this->framed_safely())) {
+        if (this->has_spaced_name() || !this->framed_as_its_kind()) {
             this->now = read_state::malformed;
             return -1;
         }
         const bool sized = (this->engine.flags & F_CONTENTLENGTH) != 0;
-        if (sized && this->engine.content_length > this->limits.max_body_bytes && !this->no_body) {
+        const bool bodyless = this->no_body || this->has_bodyless_status();
+        if (sized && this->engine.content_length > this->limits.max_body_bytes && !bodyless) {
             this->now = read_state::body_too_large;
             return -1;
         }
-        return this->no_body ? 1 : 0;
+        return bodyless ? 1 : 0;
+    }
+
+    [[nodiscard]] bool is_interim() const
+    {
+        return this->kind == message_kind::response &&
+               this->engine.status_code < first_final_status;
+    }
+
+    // Such an answer ends with its header, whatever that says (RFC 9112, section 6.3).
+    [[nodiscard]] bool has_bodyless_status() const
+    {
+        return this->is_interim() ||
+               (this->kind == message_kind::response && (this->engine.status_code == no_content ||
+                                                         this->engine.status_code == not_modified));
+    }
+
+    // An interim answer with a length or a coding is a whole answer with a wrong status: waiting
+    // for another one after it could last until the deadline.
+    [[nodiscard]] bool framed_as_its_kind() const
+    {
+        if (this->is_interim()) {
+            return (this->engine.flags & (F_CONTENTLENGTH | F_CHUNKED)) == 0 &&
+                   net::find_field(this->fields, "Transfer-Encoding").empty();
+        }
+        return this->kind == message_kind::response || this->framed_safely();
     }
 
     // White space after a value is not part of it (RFC 9112, section 5.1).
@@ -292,11 +353,13 @@
 
     int message_ended()
     {
-        if (this->kind == message_kind::response && this->engine.status_code < first_final_status) {
-            this->started = false;
-            this->head_done = false;
-            this->fields.clear();
-            this->in_value = false;
+        if (this->is_interim()) {
+            if (++this->interim_answers > net::max_interim_answers) {
+                this->now = read_state::malformed;
+                return 1;
+            }
+            this->interim_ended = true;
+            http_parser_pause(&this->engine, 1);
             return 0;
         }
         this->now = read_state::complete;
@@ -304,6 +367,10 @@
         return 0;
     }
 
+    net::status_line_check status_line;
+    std::size_t interim_answers = 0;
+    bool interim_ended = false;
+
     void check()
     {
         const auto error = HTTP_PARSER_ERRNO(&this->engine);
@@ -357,6 +424,11 @@
            net::same_name(net::find_field(this->inner->fields, "Expect"), "100-continue");
 }
 
+std::string message_reader::first_line() const
+{
+    return net::printable_line(this->inner->start);
+}
+
 request message_reader::take_request()
 {
     auto& from = *this->inner;
--- a/src/azureshore/net/internal/curl_transfer.cpp
+++ b/src/azureshore/net/internal/curl_transfer.cpp
@@ -1,6 +1,7 @@
 #include "azureshore/net/internal/curl_transfer.hpp"
 
 #include "azureshore/net/field_text.hpp"
+#include "azureshore/net/status_line.hpp"
 
 #include <algorithm>
 #include <array>
@@ -161,10 +162,7 @@
         return false;
     }
     if (line.starts_with("HTTP/")) {
-        // An interim answer came before this one.
-        this->result.headers.clear();
-        this->headers_complete = false;
-        return true;
+        return this->take_status_line(line);
     }
     if (trimmed(line).empty()) {
         this->headers_complete = true;
@@ -182,6 +180,17 @@
     return true;
 }
 
+// libcurl takes some numbers for a status that are none.
+bool curl_transfer::take_status_line(std::string_view line)
+{
+    this->malformed = !is_status_line(line) || this->status_lines > max_interim_answers;
+    ++this->status_lines;
+    // An interim answer may have come before this one.
+    this->result.headers.clear();
+    this->headers_complete = false;
+    return !this->malformed;
+}
+
 void curl_transfer::check_echo()
 {
     const auto& echo = this->request.echo;
@@ -219,6 +228,9 @@
     if (this->answer_too_large) {
         return failure::message_oversized;
     }
+    if (this->malformed) {
+        return failure::message_malformed;
+    }
     switch (code) {
     case CURLE_OK:
         return this->ends_by_its_own_length() ? failure::none : failure::connection_failed;
@@ -239,7 +251,8 @@
     long new_connections = 0;
     curl_easy_getinfo(this->easy.get(), CURLINFO_NUM_CONNECTS, &new_connections);
     this->result.reused_connection = this->result.connected && new_connections == 0;
-    this->result.status = status >= first_final_status ? static_cast<int>(status) : 0;
+    const bool answered = status >= first_final_status && !this->malformed;
+    this->result.status = answered ? static_cast<int>(status) : 0;
     this->result.why = this->failure_from(code);
     this->result.elapsed = std::chrono::steady_clock::now() - this->started;
     return std::move(this->result);
--- a/src/azureshore/net/internal/curl_transfer.hpp
+++ b/src/azureshore/net/internal/curl_transfer.hpp
@@ -55,6 +55,7 @@
     void add_line(const std::string& line);
     void check_echo();
     bool take_header(std::string_view line);
+    bool take_status_line(std::string_view line);
     bool take_body(std::string_view bytes);
     [[nodiscard]] bool ends_by_its_own_length() const;
     [[nodiscard]] failure failure_from(CURLcode code) const;
@@ -67,6 +68,8 @@
     std::size_t header_bytes = 0;
     bool headers_complete = false;
     bool answer_too_large = false;
+    bool malformed = false;
+    std::size_t status_lines = 0;
     bool sent_once = false;
     time_point started;
 };
--- a/tests/gateway/running_gateway.cpp
+++ b/tests/gateway/running_gateway.cpp
@@ -77,9 +77,12 @@
 public:
     state()
         : work(asio::make_work_guard(this->executor)),
-          gateway(this->executor,
-                  {{"vm-1"}, {"here"}, {"127.0.0.1", any_port}, balance::shared_bounds{}},
-                  plain_words(), nullptr, nullptr),
+          gateway(
+              this->executor,
+              {{"vm-1"}, {"here"}, {"127.0.0.1", any_port}, balance::shared_bounds{}},
+              plain_words(),
+              [this](const observe::decision& made) { this->log += observe::to_line(made) + '\n'; },
+              nullptr),
           thread([this] { this->executor.run(); })
     {
     }
@@ -95,6 +98,7 @@
     state(state&&) = delete;
     state& operator=(state&&) = delete;
 
+    std::string log;
     std::uint64_t version = 0;
     std::uint64_t backends = 0;
     asio::io_context executor;
@@ -149,6 +153,13 @@
     done.get_future().wait();
 }
 
+std::string running_gateway::log()
+{
+    std::string lines;
+    this->run([this, &lines](const gateway::http_gateway&) { lines = this->inner->log; });
+    return lines;
+}
+
 std::uint16_t running_gateway::port() const
 {
     return this->inner->gateway.port();
--- a/tests/gateway/running_gateway.hpp
+++ b/tests/gateway/running_gateway.hpp
@@ -44,6 +44,9 @@
 
     [[nodiscard]] std::uint16_t port() const;
 
+    // The log so far, a line for each event.
+    std::string log();
+
 private:
     class state;
     std::unique_ptr<state> inner;
--- a/tests/net/http_tests.cpp
+++ b/tests/net/http_tests.cpp
@@ -1,5 +1,7 @@
 #include "azureshore/net/http_client.hpp"
 #include "azureshore/net/http_server.hpp"
+#include "azureshore/net/status_line.hpp"
+#include "support/raw_server.hpp"
 
 #include <asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
@@ -73,6 +75,42 @@
     }
 }
 
+// Guards against a status that is none, such as 0200, which libcurl takes for one.
+BOOST_AUTO_TEST_CASE(an_answer_whose_status_is_none_is_malformed)
+{
+    for (const std::string status :
+         {"000", "0", "00", "099", "20", "101", "600", "0200", "2000", " 200"}) {
+        const test_support::raw_server server(
+            [&status](test_support::raw_connection& connection, int) {
+                connection.read_request();
+                connection.send("HTTP/1.1 " + status + " OK\r\nContent-Length: 2\r\n\r\nno");
+                connection.wait_for_close();
+            });
+        const auto result = run(to_port(server.port()));
+        BOOST_TEST((result.why == failure::message_malformed), status);
+        BOOST_TEST(result.status == 0, status);
+        BOOST_TEST((result.elapsed < std::chrono::seconds(2)), status);
+    }
+}
+
+// Guards against a server that holds a call by interim answers until its time is over.
+BOOST_AUTO_TEST_CASE(interim_answers_are_bounded_in_number)
+{
+    for (const std::size_t count : {max_interim_answers, 2 * max_interim_answers}) {
+        const test_support::raw_server server(
+            [count](test_support::raw_connection& connection, int) {
+                connection.read_request();
+                for (std::size_t i = 0; i < count; ++i) {
+                    connection.send("HTTP/1.1 102 Processing\r\n\r\n");
+                }
+                connection.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                connection.wait_for_close();
+            });
+        const auto result = run(to_port(server.port()));
+        BOOST_TEST(result.status == (count == max_interim_answers ? 200 : 0));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(several_threads_share_one_kernel_chosen_port)
 {
     http_server_settings settings;
