Give the daemon's ports the hook with the time of arrival

The readiness and metrics ports of the daemon set http_port_hooks::request, which got a third argument with pipelined requests; the daemon did not compile since then.

--- a/src/azureshore/daemon/gateway_daemon.cpp
+++ b/src/azureshore/daemon/gateway_daemon.cpp
@@ -175,7 +175,7 @@
     gateway::http_port_hooks make_ready_hooks()
     {
         gateway::http_port_hooks hooks;
-        hooks.request = [this](request_number number, const http1::request& request) {
+        hooks.request = [this](request_number number, const http1::request& request, time_point) {
             http1::response answer;
             answer.status = request.target != this->platform.readiness_path ? status_not_found
                             : this->ready()                                 ? status_ok
@@ -188,7 +188,7 @@
     gateway::http_port_hooks make_metrics_hooks()
     {
         gateway::http_port_hooks hooks;
-        hooks.request = [this](request_number number, const http1::request&) {
+        hooks.request = [this](request_number number, const http1::request&, time_point) {
             http1::response answer;
             answer.fields.push_back({"Content-Type", "text/plain; version=0.0.4"});
             answer.body = this->gateway.metrics() + this->store.metrics();
