--- a/tests/gateway/running_gateway.hpp
+++ b/tests/gateway/running_gateway.hpp
@@ -47,6 +47,9 @@
 
     [[nodiscard]] std::uint16_t port() const;
 
+    // The log so far, a line for each event.
+    std::string log();
+
 private:
     void configure(const balance::caller_limits& limits,
                    std::vector<balance::client_account> accounts);
