--- a/src/azureshore/balance/overload_policy.cpp
+++ b/src/azureshore/balance/overload_policy.cpp
@@ -20,6 +20,8 @@
 constexpr double level_gain = 0.1;
 constexpr double max_wait_excess = 3;
 constexpr double min_level = 0.05;
+// A kind is not reduced by its own waits while more than this share of a lesser kind is taken.
+constexpr double max_lesser_share = 0.2;
 constexpr duration min_patience = std::chrono::milliseconds(20);
 // After this time without a request that was sent or had waited, the logarithm of the admitted
 // share grows at this rate per second.
@@ -175,6 +177,21 @@
            now - request.arrived > patience * crowding_patience;
 }
 
+// Whether requests that are worth less for their work than those of a kind are taken in numbers.
+bool overload_policy::has_lesser_taken(time_point now, std::size_t kind) const
+{
+    const auto& own = this->kinds.at(kind);
+    for (std::size_t i = 0; i < this->kinds.size(); ++i) {
+        const auto& other = this->kinds[i];
+        if (std::tie(other.priority, other.work) > std::tie(own.priority, own.work) &&
+            other.arrived.value(now) >= min_arrivals &&
+            this->taken_share(now, i) > max_lesser_share) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void overload_policy::add_wait(time_point now, const waiting_request& request, duration wait)
 {
     const auto patience =
@@ -188,6 +205,9 @@
         }
         const double target = is_own ? wait_of_own_kind : wait_before_others;
         const double excess = seconds_f(wait) / (seconds_f(patience) * target) - 1;
+        if (is_own && excess > 0 && this->has_lesser_taken(now, i)) {
+            continue;
+        }
         const double step = level_gain * std::min(excess, max_wait_excess);
         each.level = std::clamp(this->taken_share(now, i) * std::exp(-step), min_level, max_level);
         each.level_at = now;
--- a/src/azureshore/balance/overload_policy.hpp
+++ b/src/azureshore/balance/overload_policy.hpp
@@ -155,6 +155,7 @@
         bool goes_first = false;
     };
 
+    [[nodiscard]] bool has_lesser_taken(time_point now, std::size_t kind) const;
     [[nodiscard]] double served_share(time_point now, const kind_counts& kind) const;
     [[nodiscard]] double busy_seconds(time_point now) const;
 
--- a/tests/balance/overload_policy_tests.cpp
+++ b/tests/balance/overload_policy_tests.cpp
@@ -92,6 +92,25 @@
                overload_policy::min_served_share * static_cast<double>(taken[0] + taken[1]) / 2);
 }
 
+// Urgent requests must not be refused for their own waits while others take the capacity.
+BOOST_AUTO_TEST_CASE(a_kind_is_refused_for_its_own_waits_only_after_the_lesser_kinds)
+{
+    two_kinds kinds;
+    for (int i = 0; i < 10; ++i) {
+        kinds.policy.arrived(start, "other", 1, 100ms);
+    }
+    bool lesser_first = true;
+    for (int i = 0; i < 400; ++i) {
+        const auto now = start + i * 10ms;
+        kinds.policy.arrived(now, "other", 1, 100ms);
+        kinds.policy.add_wait(now, request_at(now, kinds.urgent, 0), 200ms);
+        lesser_first = lesser_first && (kinds.policy.taken_share(now, kinds.urgent) >= 1 ||
+                                        kinds.policy.taken_share(now, kinds.other) <= 0.2);
+    }
+    BOOST_TEST(lesser_first);
+    BOOST_TEST(kinds.policy.taken_share(start + 4s, kinds.urgent) < 1.0);
+}
+
 // A daemon that gets a request only now and then must not refuse it because of an old shortage.
 BOOST_AUTO_TEST_CASE(a_shortage_is_forgotten_while_no_requests_come)
 {
