--- a/bench/balance/main.cpp
+++ b/bench/balance/main.cpp
@@ -157,8 +157,7 @@
            const run_result& result, double ideal)
 {
     std::string kinds;
-    for (std::size_t i = 0; i < result.kinds.size(); ++i) {
-        const auto& each = result.kinds[i];
+    for (const auto& each : result.kinds) {
         const auto percent = [&](std::size_t count) {
             return 100 * static_cast<double>(count) / static_cast<double>(each.requests);
         };
