--- a/tests/quota/quota_tests.cpp
+++ b/tests/quota/quota_tests.cpp
@@ -85,4 +85,42 @@
     }
 }
 
+// Guards against a token that is given back for a request that was not sent and is lost, and
+// against one that is used after it has expired.
+BOOST_AUTO_TEST_CASE(a_token_given_back_is_used_until_it_expires)
+{
+    test::virtual_clock clock;
+    quota::quota_hooks hooks;
+    hooks.clock = [&] {
+        return clock.now();
+    };
+    hooks.after = [&](duration delay, std::function<void()> action) {
+        clock.after(delay, std::move(action));
+    };
+    hooks.send = [](const vm_id&, const wire::message&) {
+    };
+    hooks.random = seeded_random(1);
+    quota::quota_keeper keeper({"g0"}, {}, hooks);
+    keeper.set_accounts({account("slow", 0.01, 1)});
+    keeper.set_owners([](const account_id&) { return std::vector<vm_id>{{"g0"}}; });
+    clock.run_for(150s);
+    std::size_t granted = 0;
+    const auto take = [&] {
+        keeper.take({"slow"}, [&](const balance::quota_answer& answer) {
+            granted += answer.decision == balance::quota_decision::granted ? 1 : 0;
+        });
+    };
+    take();
+    take();
+    BOOST_TEST(granted == 1);
+    keeper.give_back({"slow"}, clock.now());
+    take();
+    BOOST_TEST(granted == 2);
+    const auto taken_at = clock.now();
+    clock.run_for(300ms);
+    keeper.give_back({"slow"}, taken_at);
+    take();
+    BOOST_TEST(granted == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
