Check the quota's log lines and metrics against the operators' page

The test of the operations page did not read the files that gateway_store's hooks and the quotas moved to, so it missed events that are written there.

--- a/tests/documentation/documentation_tests.cpp
+++ b/tests/documentation/documentation_tests.cpp
@@ -48,7 +48,8 @@
         }
     }
     for (const auto* file : {"daemon/gateway_daemon.cpp", "daemon/internal/gateway_store.cpp",
-                             "observe/event_log.cpp"}) {
+                             "daemon/internal/gateway_store_hooks.cpp",
+                             "daemon/internal/account_quotas.cpp", "observe/event_log.cpp"}) {
         text += read(root / "src/azureshore" / file);
     }
     return text;
--- a/tests/quota/quota_simulation.cpp
+++ b/tests/quota/quota_simulation.cpp
@@ -22,6 +22,7 @@
 std::vector<vm_id> owners_in(const std::set<std::size_t>& view, const account_id& account)
 {
     std::vector<std::pair<std::uint64_t, vm_id>> ranked;
+    ranked.reserve(view.size());
     for (const auto each : view) {
         ranked.emplace_back(stable_hash(name_of(each).value, stable_hash(account.value)),
                             name_of(each));
@@ -48,7 +49,7 @@
 }
 
 void quota_simulation::run_at(std::size_t gateway, std::uint64_t incarnation,
-                              std::function<void()> action)
+                              const std::function<void()>& action)
 {
     auto& at = this->nodes[gateway];
     if (!at.keeper || at.incarnation != incarnation) {
@@ -70,7 +71,7 @@
     hooks.clock = [this] {
         return this->clock.now();
     };
-    hooks.after = [=, this](duration delay, std::function<void()> action) {
+    hooks.after = [=, this](duration delay, const std::function<void()>& action) {
         this->clock.after(delay, [=, this] { this->run_at(gateway, incarnation, action); });
     };
     hooks.send = [=, this](const vm_id& to, const wire::message& body) {
--- a/tests/quota/quota_simulation.hpp
+++ b/tests/quota/quota_simulation.hpp
@@ -66,7 +66,8 @@
     };
 
     [[nodiscard]] const balance::client_account& find(const account_id& account) const;
-    void run_at(std::size_t gateway, std::uint64_t incarnation, std::function<void()> action);
+    void run_at(std::size_t gateway, std::uint64_t incarnation,
+                const std::function<void()>& action);
     void transmit(std::size_t from, const vm_id& to, const wire::message& body);
     void next_request(const account_id& account, double rate, time_point until, bool within_quota,
                       double level, time_point last);
