Take arrivals again as soon as no request has waited for a moment

After a crowd of slow callers, a gateway went on refusing every ordinary request with 503 although none waited and its servers were idle: the share of arrivals that is taken only rises with requests that were sent, and a refused one never is. Memory and the connections were ruled out (33,928 kB, 69 descriptors). Arrivals are now refused only while requests wait or have waited in the last 300 ms.

--- a/src/azureshore/balance/overload_policy.cpp
+++ b/src/azureshore/balance/overload_policy.cpp
@@ -27,6 +27,9 @@
 // share grows at this rate per second.
 constexpr duration recovery_delay = std::chrono::seconds(1);
 constexpr double level_recovery = 0.3;
+// A shortage counts as over when no request has waited for this time. Requests that are refused on
+// arrival never wait, so without it the refusals would go on by themselves.
+constexpr duration shortage_memory = std::chrono::milliseconds(300);
 // Requests of the most urgent kinds may take a crowded backend server once they have waited for
 // this share of the time that they can wait, as long as they are the smaller part of the work.
 constexpr double crowding_patience = 0.2;
@@ -148,7 +151,7 @@
 {
     auto& counts = this->kinds.at(request.kind);
     const double share = this->taken_share(now, request.kind);
-    if (share >= 1) {
+    if (share >= 1 || !this->is_short(now)) {
         counts.credit = 0;
         return true;
     }
@@ -163,6 +166,11 @@
     return true;
 }
 
+bool overload_policy::is_short(time_point now) const
+{
+    return this->waiting_since || (this->waited_at && now - *this->waited_at < shortage_memory);
+}
+
 bool overload_policy::may_crowd(time_point now, const waiting_request& request) const
 {
     double all_work = 0;
@@ -196,6 +204,9 @@
 {
     const auto patience =
         std::max<duration>(request.target_at - request.arrived - request.work, min_patience);
+    if (wait > duration::zero()) {
+        this->waited_at = now;
+    }
     const auto& own = this->kinds.at(request.kind);
     for (std::size_t i = 0; i < this->kinds.size(); ++i) {
         auto& each = this->kinds[i];
--- a/src/azureshore/balance/overload_policy.hpp
+++ b/src/azureshore/balance/overload_policy.hpp
@@ -158,6 +158,8 @@
     [[nodiscard]] bool has_lesser_taken(time_point now, std::size_t kind) const;
     [[nodiscard]] double served_share(time_point now, const kind_counts& kind) const;
     [[nodiscard]] double busy_seconds(time_point now) const;
+    // Whether requests wait, or waited until a moment ago.
+    [[nodiscard]] bool is_short(time_point now) const;
 
     std::vector<kind_counts> kinds;
     decaying_sum all_arrived{std::chrono::seconds(5)};
@@ -166,6 +168,8 @@
     decaying_sum queue_starts{std::chrono::seconds(2)};
     decaying_sum queue_seconds{std::chrono::seconds(2)};
     std::optional<time_point> waiting_since;
+    // When a request that had waited was last sent or refused.
+    std::optional<time_point> waited_at;
     double crowded_time = 1.7;
 };
 
--- a/tests/balance/overload_policy_tests.cpp
+++ b/tests/balance/overload_policy_tests.cpp
@@ -120,6 +120,18 @@
     BOOST_TEST(kinds.policy.admits(start + 30s, request_at(start + 30s, kinds.other, 1)));
 }
 
+// Guards against refusals on arrival that go on by themselves: a request that is refused never
+// waits, so it can't show that the shortage is over.
+BOOST_AUTO_TEST_CASE(every_request_is_taken_soon_after_the_last_one_waited)
+{
+    two_kinds kinds;
+    take_while_urgent_ones_wait(kinds, 50ms);
+    for (const auto now : {start + 4400ms, start + 4401ms, start + 4402ms}) {
+        BOOST_TEST(kinds.policy.taken_share(now, kinds.other) < 1.0);
+        BOOST_TEST(kinds.policy.admits(now, request_at(now, kinds.other, 1)));
+    }
+}
+
 // A request that was refused before is late already, though it arrived just now.
 BOOST_AUTO_TEST_CASE(the_first_attempt_is_inferred_from_the_time_that_the_caller_still_waits)
 {
