Split the longest function of the attempts and the message reader; name the new version

A send that is refused for its key gives back its place in a roll-out's allowance. The version of a roll-out is new_version outside of platform/, where the platform's word stands.

test_balance, test_http1, test_wire and test_users_platform pass.

--- a/src/azureshore/balance/internal/attempts.cpp
+++ b/src/azureshore/balance/internal/attempts.cpp
@@ -35,6 +35,7 @@
     // The key may have been removed since the request was admitted.
     if (!this->authorize(request)) {
         this->release_connection(choice);
+        this->end_exposure(request);
         if (request.running_attempts.empty()) {
             this->refuse(request, this->refusal_of_key());
         }
@@ -58,22 +59,7 @@
         return;
     }
     const attempt_number attempt{++this->last_attempt};
-    ++request.attempts;
-    ++this->counts.attempts;
-    if (request.attempts > 1) {
-        ++this->counts.second_sends;
-        this->service(request.service).retries.add_retry(now);
-    }
-    else {
-        auto& target = this->service(request.service);
-        target.overload.started(now, request.kind, from_queue);
-        target.overload.add_wait(now, this->waiting_view(request),
-                                 now - request.queued_at.value_or(now));
-        target.overload.set_waiting(now, !target.queue.empty());
-    }
-    if (request.attempts == 1) {
-        this->backends.versions.add_request(request.service);
-    }
+    this->count_send(request, from_queue);
     request.exposed = false;
     request.exposure_failed = false;
     ++backend->in_flight;
@@ -111,6 +97,24 @@
                       this->accounts.has_accounts()});
 }
 
+void dispatcher::state::count_send(in_flight_request& request, bool from_queue)
+{
+    const auto now = this->now();
+    auto& target = this->service(request.service);
+    ++request.attempts;
+    ++this->counts.attempts;
+    if (request.attempts > 1) {
+        ++this->counts.second_sends;
+        target.retries.add_retry(now);
+        return;
+    }
+    target.overload.started(now, request.kind, from_queue);
+    target.overload.add_wait(now, this->waiting_view(request),
+                             now - request.queued_at.value_or(now));
+    target.overload.set_waiting(now, !target.queue.empty());
+    this->backends.versions.add_request(request.service);
+}
+
 void dispatcher::state::start_second_send_timer(const in_flight_request& request,
                                                 attempt_number attempt, duration delay,
                                                 bool final_check)
--- a/src/azureshore/balance/internal/dispatcher_state.hpp
+++ b/src/azureshore/balance/internal/dispatcher_state.hpp
@@ -210,6 +210,7 @@
 
     // Attempts.
     void send(in_flight_request& request, const backend_choice& choice, bool from_queue = false);
+    void count_send(in_flight_request& request, bool from_queue);
     void start_second_send_timer(const in_flight_request& request, attempt_number attempt,
                                  duration delay, bool final_check);
     void consider_second_send(request_number number, attempt_number attempt, bool final_check);
--- a/src/azureshore/daemon/gateway_platform.hpp
+++ b/src/azureshore/daemon/gateway_platform.hpp
@@ -28,7 +28,7 @@
 struct rollout_order_record {
     service_id service;
     bool withdrawn = false;
-    std::string target_version;
+    std::string new_version;
     // The time from the order to the deadline of the decision. Positive.
     duration time_limit{};
 
@@ -46,7 +46,7 @@
 // What the store holds of the state of a service's roll-out.
 struct rollout_status_record {
     service_id service;
-    std::string target_version;
+    std::string new_version;
     rollout::decided_state state = rollout::decided_state::running;
 
     bool operator==(const rollout_status_record&) const = default;
--- a/src/azureshore/daemon/internal/gateway_rollouts.cpp
+++ b/src/azureshore/daemon/internal/gateway_rollouts.cpp
@@ -75,7 +75,7 @@
     made.write_state = [this](const rollout::order& order, rollout::decided_state state,
                               std::uint64_t at, std::function<void(rollout::write_outcome)> done) {
         this->topics.write_status(
-            {order.service, order.target_version, state}, at,
+            {order.service, order.new_version, state}, at,
             [done = std::move(done)](append_outcome outcome) { done(outcome_of(outcome)); });
     };
     made.log = this->hooks.log;
@@ -86,7 +86,7 @@
 void gateway_rollouts::direct(const rollout::order& order, rollout::traffic use)
 {
     balance::version_rule rule;
-    rule.target = order.target_version;
+    rule.target = order.new_version;
     rule.share = this->exposure_share;
     rule.use = use == rollout::traffic::held      ? balance::version_use::other_only
                : use == rollout::traffic::exposed ? balance::version_use::share
@@ -102,7 +102,7 @@
         states.end_offset = listed.next_offset;
         for (const auto& each : listed.records) {
             if (const auto read = this->platform.read_rollout_status(each); read.ok()) {
-                states.entries.push_back({read->service, read->target_version, read->state});
+                states.entries.push_back({read->service, read->new_version, read->state});
             }
         }
         done(states);
@@ -115,8 +115,8 @@
         this->controller.withdraw_order(order.service);
         return;
     }
-    this->controller.take_order(
-        steady_now(), {order.service, order.target_version, order.time_limit}, may_be_old);
+    this->controller.take_order(steady_now(), {order.service, order.new_version, order.time_limit},
+                                may_be_old);
 }
 
 void gateway_rollouts::keep_orders(const std::set<service_id>& services)
--- a/src/azureshore/daemon/internal/gateway_rollouts.hpp
+++ b/src/azureshore/daemon/internal/gateway_rollouts.hpp
@@ -13,7 +13,7 @@
 struct gateway_rollouts_hooks {
     std::function<void(const service_id&, const balance::version_rule&)> version_rule_set;
     std::function<void(const service_id&)> version_rule_removed;
-    std::function<rollout::service_counts(const service_id&, const std::string& target_version)>
+    std::function<rollout::service_counts(const service_id&, const std::string& new_version)>
         count_versions;
     std::function<void(const observe::decision&)> log;
 };
--- a/src/azureshore/http1/message_reader.cpp
+++ b/src/azureshore/http1/message_reader.cpp
@@ -1,5 +1,6 @@
 #include "azureshore/http1/message_reader.hpp"
 
+#include "azureshore/http1/internal/field_rules.hpp"
 #include "azureshore/net/status_line.hpp"
 
 #include <http_parser.h>
@@ -20,14 +21,6 @@
 // Memory for a body of unknown length begins with this and doubles.
 constexpr std::size_t first_body_bytes = 4UL * 1024UL;
 
-// Whether a character may stand in a token (RFC 9110, section 5.6.2).
-bool is_token_character(char letter)
-{
-    return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') ||
-           (letter >= '0' && letter <= '9') ||
-           std::string_view("!#$%&'*+-.^_`|~").find(letter) != std::string_view::npos;
-}
-
 } // namespace
 
 // Collects what http_parser finds.
@@ -212,7 +205,8 @@
     // other.
     std::size_t execute_method(std::string_view part)
     {
-        const auto* const end = std::find_if_not(part.begin(), part.end(), is_token_character);
+        const auto* const end =
+            std::find_if_not(part.begin(), part.end(), detail::is_token_character);
         const auto length = static_cast<std::size_t>(end - part.begin());
         this->method.append(part.substr(0, length));
         if (end == part.end()) {
@@ -282,10 +276,10 @@
     int header_ended()
     {
         this->head_done = true;
-        this->trim_values();
+        detail::trim_values(this->fields);
         // An offer to upgrade is declined by going on with this protocol.
         this->engine.upgrade = 0;
-        if (this->has_spaced_name() || !this->framed_as_its_kind()) {
+        if (detail::has_spaced_name(this->fields) || !this->framed_as_its_kind()) {
             this->now = read_state::malformed;
             return -1;
         }
@@ -323,7 +317,7 @@
             return (this->engine.flags & (F_CONTENTLENGTH | F_CHUNKED)) == 0 &&
                    net::find_field(this->fields, "Transfer-Encoding").empty();
         }
-        return this->kind == message_kind::response || this->framed_safely();
+        return this->kind == message_kind::response || detail::is_framed_safely(this->fields);
     }
 
     // Makes room for a body of that many bytes.
@@ -340,40 +334,6 @@
         return true;
     }
 
-    // White space after a value is not part of it (RFC 9112, section 5.1).
-    void trim_values()
-    {
-        for (auto& each : this->fields) {
-            each.value = std::string(net::trimmed(each.value));
-        }
-    }
-
-    // A space before the colon: readers differ in whether it belongs to the name.
-    [[nodiscard]] bool has_spaced_name() const
-    {
-        return std::any_of(this->fields.begin(), this->fields.end(), [](const net::field& each) {
-            return each.name.find_first_of(" \t") != std::string::npos;
-        });
-    }
-
-    // A coding other than exactly "chunked", or chunks together with a length, can be framed in
-    // two ways.
-    [[nodiscard]] bool framed_safely() const
-    {
-        bool chunked = false;
-        bool sized = false;
-        for (const auto& each : this->fields) {
-            if (net::same_name(each.name, "Transfer-Encoding")) {
-                if (chunked || !net::same_name(each.value, "chunked")) {
-                    return false;
-                }
-                chunked = true;
-            }
-            sized = sized || net::same_name(each.name, "Content-Length");
-        }
-        return !(chunked && sized);
-    }
-
     int add_body(const char* at, std::size_t length)
     {
         if (this->body.size() + length > this->limits.max_body_bytes) {
--- a/src/azureshore/rollout/controller.cpp
+++ b/src/azureshore/rollout/controller.cpp
@@ -38,10 +38,10 @@
 }
 
 controller::state::record* controller::state::find(const service_id& service,
-                                                   const std::string& target_version)
+                                                   const std::string& new_version)
 {
     const auto found = this->records.find(service);
-    return found == this->records.end() || found->second.given.target_version != target_version
+    return found == this->records.end() || found->second.given.new_version != new_version
                ? nullptr
                : &found->second;
 }
@@ -50,7 +50,7 @@
 void controller::state::take_order(time_point at, const order& given, bool may_be_old)
 {
     this->now = at;
-    if (auto* known = this->find(given.service, given.target_version)) {
+    if (auto* known = this->find(given.service, given.new_version)) {
         known->given.time_limit = given.time_limit;
         return;
     }
@@ -65,7 +65,7 @@
     if (this->hooks.log) {
         this->hooks.log({"rollout_ordered",
                          {{"service", given.service.value},
-                          {"target", given.target_version},
+                          {"target", given.new_version},
                           {"limit_ms", whole_milliseconds(given.time_limit)}}});
     }
     this->direct(taken);
@@ -90,7 +90,7 @@
         return;
     }
     auto& of = found->second;
-    const bool is_target = version == of.given.target_version;
+    const bool is_target = version == of.given.new_version;
     wire::version_counts counted{1, failed ? 1U : 0U, {}};
     if (!cold && !failed) {
         const auto bucket = bucket_of(response_time);
@@ -110,7 +110,7 @@
 void controller::state::take_report(const wire::rollout_report& report)
 {
     for (const auto& each : report.evidence) {
-        if (auto* of = this->find(each.service, each.target_version)) {
+        if (auto* of = this->find(each.service, each.new_version)) {
             merge(of->unreported, each.routes);
         }
     }
@@ -121,7 +121,7 @@
 {
     this->now = at;
     for (const auto& each : notice.rollouts) {
-        auto* of = this->find(each.service, each.target_version);
+        auto* of = this->find(each.service, each.new_version);
         if (of == nullptr) {
             continue;
         }
@@ -155,7 +155,7 @@
     if (this->hooks.log) {
         this->hooks.log({"rollout_phase",
                          {{"service", of.given.service.value},
-                          {"target", of.given.target_version},
+                          {"target", of.given.new_version},
                           {"phase", std::string(to_string(phase))},
                           {"stored", stored ? "true" : "false"},
                           {"cause", std::string(cause)},
@@ -189,7 +189,7 @@
     if (this->hooks.log) {
         this->hooks.log({"rollout_traffic",
                          {{"service", of.given.service.value},
-                          {"target", of.given.target_version},
+                          {"target", of.given.new_version},
                           {"use", next == traffic::held      ? "held"
                                   : next == traffic::exposed ? "exposed"
                                                              : "moved"}}});
@@ -210,7 +210,7 @@
     wire::rollout_report report;
     for (const auto& [service, of] : this->records) {
         if (!of.unreported.empty()) {
-            report.evidence.push_back({service, of.given.target_version, of.unreported});
+            report.evidence.push_back({service, of.given.new_version, of.unreported});
         }
     }
     if (!report.evidence.empty() && this->hooks.report(report)) {
@@ -335,7 +335,7 @@
 {
     for (const auto& [service, of] : this->inner->records) {
         into.set("azureshore_rollout_phase",
-                 {{"service", service.value}, {"target", of.given.target_version}},
+                 {{"service", service.value}, {"target", of.given.new_version}},
                  static_cast<double>(of.phase));
         for (const auto& [name, total] :
              {std::pair("target", &of.target_total), std::pair("other", &of.other_total)}) {
--- a/src/azureshore/rollout/internal/controller_state.hpp
+++ b/src/azureshore/rollout/internal/controller_state.hpp
@@ -25,7 +25,7 @@
 private:
     using record = detail::rollout_record;
 
-    record* find(const service_id& service, const std::string& target_version);
+    record* find(const service_id& service, const std::string& new_version);
     void set_phase(record& of, wire::rollout_phase phase, bool stored, std::string_view cause);
     void direct(record& of);
     // Whether this daemon has heard lately from the one that decides.
--- a/src/azureshore/rollout/internal/decider.cpp
+++ b/src/azureshore/rollout/internal/decider.cpp
@@ -41,7 +41,7 @@
     if (of.is_final() && of.stored) {
         return;
     }
-    const auto servers = this->hooks.count(of.given.service, of.given.target_version);
+    const auto servers = this->hooks.count(of.given.service, of.given.new_version);
     if (of.phase == wire::rollout_phase::running || of.phase == wire::rollout_phase::moving) {
         this->follow(of, detail::choose(of, servers, this->now - of.given_at, this->bounds));
     }
@@ -91,14 +91,14 @@
 
 void controller::state::written(const order& given, decided_state decided, write_outcome outcome)
 {
-    auto* of = this->find(given.service, given.target_version);
+    auto* of = this->find(given.service, given.new_version);
     if (of != nullptr) {
         of->writing = false;
     }
     if (this->hooks.log) {
         this->hooks.log({"rollout_state_written",
                          {{"service", given.service.value},
-                          {"target", given.target_version},
+                          {"target", given.new_version},
                           {"state", std::string(to_string(phase_of(decided)))},
                           {"result", outcome == write_outcome::written    ? "written"
                                      : outcome == write_outcome::conflict ? "conflict"
@@ -149,7 +149,7 @@
 // The first final state in the store is never changed, so it replaces what this daemon decided.
 void controller::state::take_state(const status_list::entry& entry)
 {
-    auto* of = this->find(entry.service, entry.target_version);
+    auto* of = this->find(entry.service, entry.new_version);
     if (of == nullptr || (of->is_final() && of->stored)) {
         return;
     }
@@ -168,8 +168,7 @@
 
 wire::rollout_status controller::state::status_of(const record& of) const
 {
-    return {of.given.service, of.given.target_version, of.phase, of.stored,
-            this->now - of.given_at};
+    return {of.given.service, of.given.new_version, of.phase, of.stored, this->now - of.given_at};
 }
 
 void controller::state::notify()
--- a/src/azureshore/rollout/rollout.hpp
+++ b/src/azureshore/rollout/rollout.hpp
@@ -25,7 +25,7 @@
 // The operators' order to move a service's requests to servers of another version.
 struct order {
     service_id service;
-    std::string target_version;
+    std::string new_version;
     // From the order to the deadline of the decision.
     duration time_limit{};
 
@@ -107,7 +107,7 @@
     std::uint64_t end_offset = 0;
     struct entry {
         service_id service;
-        std::string target_version;
+        std::string new_version;
         decided_state state = decided_state::running;
     };
     std::vector<entry> entries;
@@ -129,7 +129,7 @@
     // The order was withdrawn; no version is preferred.
     std::function<void(const service_id&)> release;
     // The servers in service of the target version and of the others.
-    std::function<service_counts(const service_id&, const std::string& target_version)> count;
+    std::function<service_counts(const service_id&, const std::string& new_version)> count;
     // Whether this daemon decides, that is, reads the store for all.
     std::function<bool()> decides;
     // Sends a report to the parent in the broadcast tree. Returns false if there is none.
--- a/src/azureshore/wire/internal/fields.hpp
+++ b/src/azureshore/wire/internal/fields.hpp
@@ -73,9 +73,9 @@
 AZURESHORE_FIELDS(topic_position, m.epoch, m.offset);
 AZURESHORE_FIELDS(version_counts, m.responses, m.failures, m.times);
 AZURESHORE_FIELDS(route_counts, m.route, m.target, m.other);
-AZURESHORE_FIELDS(rollout_evidence, m.service, m.target_version, m.routes);
+AZURESHORE_FIELDS(rollout_evidence, m.service, m.new_version, m.routes);
 AZURESHORE_FIELDS(rollout_report, m.evidence);
-AZURESHORE_FIELDS(rollout_status, m.service, m.target_version, m.phase, m.stored, m.age);
+AZURESHORE_FIELDS(rollout_status, m.service, m.new_version, m.phase, m.stored, m.age);
 AZURESHORE_FIELDS(rollout_notice, m.rollouts, m.broadcast_id);
 AZURESHORE_FIELDS(shared_record, m.offset, m.key, m.value, m.dropped_value);
 AZURESHORE_FIELDS(topic_news, m.reader, m.topic, m.from, m.next, m.records, m.operators_next,
--- a/src/azureshore/wire/rollout_messages.hpp
+++ b/src/azureshore/wire/rollout_messages.hpp
@@ -30,7 +30,7 @@
 
 struct rollout_evidence {
     service_id service;
-    std::string target_version;
+    std::string new_version;
     std::vector<route_counts> routes;
 
     bool operator==(const rollout_evidence&) const = default;
@@ -58,7 +58,7 @@
 
 struct rollout_status {
     service_id service;
-    std::string target_version;
+    std::string new_version;
     rollout_phase phase = rollout_phase::unknown;
     // Whether the store holds this phase as the state of the roll-out.
     bool stored = false;
--- a/tests/rollout/controller_tests.cpp
+++ b/tests/rollout/controller_tests.cpp
@@ -105,7 +105,7 @@
     {
         std::vector<std::string> made;
         for (const auto& each : this->states.written) {
-            made.push_back(each.target_version +
+            made.push_back(each.new_version +
                            (each.state == rollout::decided_state::running     ? " running"
                             : each.state == rollout::decided_state::completed ? " completed"
                                                                               : " rolled_back"));
@@ -118,7 +118,7 @@
     {
         const auto decided = [this] {
             return !this->states.written.empty() &&
-                   this->states.written.back().target_version == this->target &&
+                   this->states.written.back().new_version == this->target &&
                    this->states.written.back().state != rollout::decided_state::running;
         };
         this->clock.run_while_not(decided, this->clock.now() + longest);
@@ -174,7 +174,7 @@
             return rollout::write_outcome::conflict;
         }
         ++this->states.end_offset;
-        this->states.written.push_back({order.service, order.target_version, state});
+        this->states.written.push_back({order.service, order.new_version, state});
         if (this->states.lost_answers > 0) {
             --this->states.lost_answers;
             return rollout::write_outcome::unknown;
--- a/tests/users_platform/decode_tests.cpp
+++ b/tests/users_platform/decode_tests.cpp
@@ -271,7 +271,7 @@
     BOOST_REQUIRE(read.ok());
     const auto& order = std::get<daemon::rollout_order_record>(*read);
     BOOST_TEST(order.service.value == "s1");
-    BOOST_TEST(order.target_version == "v2");
+    BOOST_TEST(order.new_version == "v2");
     BOOST_TEST((order.time_limit == 30500ms));
     BOOST_TEST(!order.withdrawn);
     const auto withdrawn = users_platform::read_operator_record(record("rollout/s1", std::nullopt));
