--- a/src/azureshore/balance/internal/admission.cpp
+++ b/src/azureshore/balance/internal/admission.cpp
@@ -70,7 +70,6 @@
     if (!this->is_ready()) {
         return;
     }
-    this->ready_at = this->ready_at.value_or(this->now());
     const auto held = std::exchange(this->held_requests, {});
     for (const auto& [number, incoming] : held) {
         this->admit(incoming);
--- a/src/azureshore/balance/internal/authorization.cpp
+++ b/src/azureshore/balance/internal/authorization.cpp
@@ -1,22 +1,10 @@
 #include "azureshore/balance/internal/dispatch_constants.hpp"
 #include "azureshore/balance/internal/dispatcher_state.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace azureshore::balance {
 
-namespace {
-
-// After a start, those who keep the quotas may not know yet that they do. A request that is refused
-// then would meet the same at another daemon that has just started too.
-constexpr duration start_phase = std::chrono::seconds(2);
-// How long a request waits for its quota in that phase, and how often it asks.
-constexpr duration max_quota_wait = std::chrono::milliseconds(1500);
-constexpr duration quota_retry_interval = std::chrono::milliseconds(100);
-
-} // namespace
-
 void dispatcher::state::index_accounts()
 {
     this->accounts = account_directory(this->configuration);
@@ -97,27 +85,10 @@
                      {refusal_cause::quota_exceeded, status_too_many_requests, answer.retry_after});
         return;
     }
-    if (this->may_await_quota(*request)) {
-        this->hooks.after(quota_retry_interval, [this, number] {
-            if (auto* waiting = this->find_request(number)) {
-                this->request_quota(*waiting);
-            }
-        });
-        return;
-    }
     this->refuse(*request, {refusal_cause::quota_unavailable, status_unavailable,
                             answer.retry_after.value_or(short_retry_delay)});
 }
 
-bool dispatcher::state::may_await_quota(const in_flight_request& request) const
-{
-    const auto now = this->hooks.clock();
-    const auto caller_timeout = request.incoming.caller_timeout.value_or(default_caller_timeout);
-    return !this->stop && this->ready_at && now < *this->ready_at + start_phase &&
-           now + quota_retry_interval <
-               request.incoming.arrived + std::min<duration>(max_quota_wait, caller_timeout / 2);
-}
-
 void dispatcher::state::return_quota(const account_id& account, time_point granted_at)
 {
     if (this->hooks.return_quota) {
--- a/src/azureshore/balance/internal/dispatcher_state.hpp
+++ b/src/azureshore/balance/internal/dispatcher_state.hpp
@@ -174,7 +174,6 @@
     [[nodiscard]] refusal refusal_of_key() const;
     void request_quota(in_flight_request& request);
     void handle_quota(const account_id& account, request_number number, const quota_answer& answer);
-    [[nodiscard]] bool may_await_quota(const in_flight_request& request) const;
     void return_quota(const account_id& account, time_point granted_at);
 
     // Search.
@@ -236,8 +235,6 @@
     // The accounts of the configuration in force.
     account_directory accounts;
     bool backends_known = false;
-    // When the daemon became ready.
-    std::optional<time_point> ready_at;
     sliding_window_counter arrivals{rate_window};
     shared_bounds bounds;
     detail::weighted_round_robin service_selector;
--- a/src/azureshore/quota/internal/owner.cpp
+++ b/src/azureshore/quota/internal/owner.cpp
@@ -80,10 +80,7 @@
     const auto found = this->buckets.find(ask.account);
     if (found == this->buckets.end() || this->contact < least_contact ||
         now < found->second.filled_at) {
-        const bool starts = found != this->buckets.end() && now < found->second.filled_at;
-        made.retry_after =
-            starts ? std::clamp<duration>(found->second.filled_at - now, min_retry, max_retry)
-                   : not_ready_retry;
+        made.retry_after = not_ready_retry;
         return made;
     }
     auto& from = found->second;
