Take an answer that a reset cuts short for no answer

What callers saw: a backend server answered a long upload at once with a 200 without a length and reset the connection while the upload was being written.

Cause: the kernel reports the failure of a connection to the first call that asks; a read after it returns the end of the stream. While an upload is written, that first call is often the write. Its error was dropped, and the end of the stream completed the answer without a length. The same holds for a connection that fails by its time limit for unacknowledged bytes (by reading, not run).

Evidence: gateway as a process, 44 answers cut by a reset (0, 5, 40, 300 ms after their last byte; 0, 64 KiB, 3 MiB of 6 MiB read; kept and new connections; with and without a body, a whole head, a length, chunks).

Answers with a length, in chunks or without a whole head were held before too.

Change: a failed write is noted, and the end of the stream then ends no answer. So the request is now sent by calls within the connection's own handlers; whichever call learns of the failure, it is known before a later read ends. A broken pipe is no failure: the kernel reports it where the peer had closed its side in order before the reset, and an answer that ends in order is whole and still delivered (tested).

--- a/src/azureshore/gateway/internal/backend_connection.cpp
+++ b/src/azureshore/gateway/internal/backend_connection.cpp
@@ -1,9 +1,10 @@
 #include "azureshore/gateway/internal/backend_connection.hpp"
 
-#include <asio/write.hpp>
+#include <asio/buffer.hpp>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace azureshore::gateway::detail {
@@ -16,6 +17,8 @@
 constexpr int unacknowledged_ms = 2000;
 // Bytes of an answer that may wait in the kernel, where they count as this process's memory.
 constexpr int receive_buffer_bytes = 128 * 1024;
+// Most of a request's body that is sent before other connections have their turn.
+constexpr std::size_t most_sent_at_once = 64UL * 1024UL;
 constexpr duration connect_limit = std::chrono::milliseconds(1000);
 
 } // namespace
@@ -34,6 +37,7 @@
 {
     this->current = std::move(next);
     this->written = false;
+    this->write_failed = false;
     this->reader.expect_no_body(this->current->is_head);
     if (!this->connected) {
         this->connect();
@@ -61,6 +65,7 @@
         }
         self->connected = true;
         asio::error_code unsupported;
+        self->socket.non_blocking(true, unsupported);
         self->socket.set_option(asio::ip::tcp::no_delay(true), unsupported);
         using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
         self->socket.set_option(user_timeout(unacknowledged_ms), unsupported);
@@ -78,17 +83,42 @@
         // Cancelling is not enough: the handler of an earlier limit may already be queued.
         this->timer.expires_at(asio::steady_timer::time_point::max());
     }
-    const auto body = this->current->body;
-    const std::array<asio::const_buffer, 2> parts{
-        asio::buffer(this->current->bytes), body ? asio::buffer(*body) : asio::const_buffer()};
-    asio::async_write(
-        this->socket, parts,
-        [body, self = this->shared_from_this()](const asio::error_code& error, std::size_t) {
-            if (!error) {
-                self->written = true;
-            }
-            // A failed write leaves the end to the read: an answer may have come.
-        });
+    this->sent = 0;
+    this->write_part();
+}
+
+// Sends within this call, not by an operation of the executor, so that a failure is known here
+// before any later read ends: the kernel reports it to the first call alone, and the read after it
+// sees the end of the stream.
+void backend_connection::write_part()
+{
+    const auto& head = this->current->bytes;
+    const auto of_head = std::min(this->sent, head.size());
+    const auto head_left = asio::buffer(head) + of_head;
+    const auto body_left = this->current->body
+                               ? asio::buffer(*this->current->body) + (this->sent - of_head)
+                               : asio::const_buffer();
+    const std::array<asio::const_buffer, 2> parts{head_left,
+                                                  asio::buffer(body_left, most_sent_at_once)};
+    asio::error_code error;
+    this->sent += this->socket.write_some(parts, error);
+    if (error && error != asio::error::would_block) {
+        // The end is left to the read: an answer may have come. A pipe is broken if the peer closed
+        // its side in order before, so that the end of the stream still ends an answer.
+        this->write_failed = error != asio::error::broken_pipe;
+        return;
+    }
+    this->written =
+        this->sent == head.size() + (this->current->body ? this->current->body->size() : 0);
+    if (this->written) {
+        return;
+    }
+    this->socket.async_wait(asio::socket_base::wait_write,
+                            [self = this->shared_from_this()](const asio::error_code& failed) {
+                                if (!failed && !self->closed && self->current) {
+                                    self->write_part();
+                                }
+                            });
 }
 
 void backend_connection::read()
@@ -170,7 +200,7 @@
         return;
     }
     this->keep = false;
-    if (at_end) {
+    if (at_end && !this->write_failed) {
         this->reader.end_of_stream();
         if (this->reader.state() == http1::read_state::complete) {
             auto answer = this->take_answer();
--- a/src/azureshore/gateway/internal/backend_connection.hpp
+++ b/src/azureshore/gateway/internal/backend_connection.hpp
@@ -8,6 +8,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -78,6 +79,7 @@
 private:
     void connect();
     void write();
+    void write_part();
     void read();
     void bytes_came(std::size_t count);
     void take_answers();
@@ -100,7 +102,11 @@
     std::optional<exchange> current;
     bool connected = false;
     bool closed = false;
+    // Bytes of the current request that are sent, and whether these are all.
+    std::size_t sent = 0;
     bool written = false;
+    // The connection failed while the request was written: the end of the stream ends no answer.
+    bool write_failed = false;
     bool keep = true;
 };
 
--- /dev/null
+++ b/tests/broken_answers/early_reset_tests.cpp
@@ -0,0 +1,244 @@
+// A backend server that answers a long upload at once, and resets the connection while the rest of
+// the upload is written. The gateway is a process, as the order of a failed write and of the read
+// beside it depends on the kernel.
+
+#include "broken_answers/faulty_backend.hpp"
+#include "deployment/small_deployment.hpp"
+
+#include <array>
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+using namespace azureshore;
+using namespace azureshore::testing;
+using test_support::raw_connection;
+using test_support::raw_server;
+
+namespace {
+
+constexpr std::size_t upload_bytes = 6UL * 1024UL * 1024UL;
+constexpr std::size_t kibibyte = 1024;
+constexpr int status_bad_gateway = 502;
+constexpr auto patience = std::chrono::seconds(10);
+const std::string part = "the first part of the answer";
+const std::string whole = "a whole answer";
+const std::string close_field = "Connection: close\r\n";
+
+// What the report leaves open.
+struct early_answer {
+    // From the last byte of the answer to the reset.
+    milliseconds pause{};
+    // Bytes of the upload that the backend server reads before it answers.
+    std::size_t taken = 0;
+    // Whether the connection has carried another request.
+    bool kept = false;
+    std::string more_fields{};
+    // What is sent of the answer after its fields.
+    std::string rest = "\r\n" + part;
+    // Whether the answer ends in order before the reset.
+    bool ends_in_order = false;
+};
+
+std::ostream& operator<<(std::ostream& out, const early_answer& of)
+{
+    return out << of.pause.count() << " ms after the answer, " << of.taken << " bytes taken, "
+               << (of.kept ? "kept" : "new") << " connection, " << of.more_fields << of.rest;
+}
+
+constexpr std::array pauses{milliseconds(0), milliseconds(5), milliseconds(40), milliseconds(300)};
+
+// Answers that are cut short by a reset.
+std::vector<early_answer> cut_answers()
+{
+    std::vector<early_answer> all;
+    for (const milliseconds pause : pauses) {
+        for (const auto taken : {std::size_t{0}, 64 * kibibyte, 3072 * kibibyte}) {
+            for (const bool kept : {false, true}) {
+                all.push_back({pause, taken, kept});
+            }
+        }
+        all.push_back({pause, 0, true, close_field});
+        all.push_back({pause, 0, false, "", "\r\n"});
+        all.push_back({pause, 0, true, "", ""});
+        all.push_back({pause, 0, true, "Content-Length: 100\r\n"});
+        all.push_back({pause, 0, true, "Transfer-Encoding: chunked\r\n", "\r\n4\r\npart\r\n"});
+    }
+    return all;
+}
+
+bool is_upload(const std::string& head)
+{
+    return head.find("/upload") != std::string::npos;
+}
+
+// Backend servers of which the first that gets the upload of a case answers it as told. They answer
+// all else well.
+class upload_servers {
+public:
+    upload_servers(local_deployment& place, std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            const auto id = "i-" + std::to_string(i + 1);
+            this->servers.push_back(std::make_unique<raw_server>(
+                [this, id](raw_connection& connection, int) { this->serve(connection, id); }));
+            place.store.put("keyed.servers", id, registration_of(this->servers.back()->port()));
+        }
+    }
+
+    void begin(const early_answer& next)
+    {
+        const std::lock_guard hold(this->lock);
+        this->how = next;
+        this->uploads = 0;
+    }
+
+    std::atomic<int> uploads{0};
+    // Whether the connection of the first upload had carried another request.
+    std::atomic<bool> on_kept_connection{false};
+
+private:
+    early_answer current()
+    {
+        const std::lock_guard hold(this->lock);
+        return this->how;
+    }
+
+    void serve(raw_connection& connection, const std::string& id)
+    {
+        bool carried = false;
+        while (const auto head = connection.read_head()) {
+            const auto now = this->current();
+            if (is_health_check(*head)) {
+                connection.send(health_answer(id));
+            }
+            else if (!is_upload(*head)) {
+                carried = true;
+                connection.send(whole_answer(*head, whole, now.kept ? "" : close_field));
+                if (!now.kept) {
+                    return;
+                }
+            }
+            else if (++this->uploads == 1) {
+                this->on_kept_connection = carried;
+                connection.skip(now.taken);
+                connection.send(head_of_answer(*head) + now.more_fields + now.rest);
+                if (now.ends_in_order) {
+                    connection.finish_sending();
+                }
+                std::this_thread::sleep_for(now.pause);
+                connection.reset_at_end();
+                return;
+            }
+            else {
+                connection.skip(upload_bytes - body_bytes_of(*head));
+                connection.send(whole_answer(*head, whole));
+            }
+        }
+    }
+
+    std::mutex lock;
+    early_answer how;
+    std::vector<std::unique_ptr<raw_server>> servers;
+};
+
+deployment_plan one_gateway()
+{
+    deployment_plan plan;
+    plan.gateways = 1;
+    plan.backends = 0;
+    plan.max_body_bytes = 2 * upload_bytes;
+    return plan;
+}
+
+// A gateway as a process, with backend servers that do exactly what a case says.
+struct faulty_deployment {
+    judge watch;
+    local_deployment place{one_gateway(), this->watch};
+    int asked = 0;
+
+    faulty_deployment() { BOOST_REQUIRE(this->place.wait_until_all_ready()); }
+
+    // Status zero if no answer came whole.
+    http1::response ask(const std::string& method, const std::string& target,
+                        const std::string& body = "")
+    {
+        auto request =
+            make_request("r-" + std::to_string(++this->asked), target, method == "GET", patience);
+        request.method = method;
+        request.body = body;
+        auto answer = caller().ask(this->place.gateways.front().callers, request, patience);
+        return answer ? std::move(*answer) : http1::response{0, {}, "", false, nullptr};
+    }
+
+    // Sends an upload once an ordinary request has been answered.
+    http1::response upload(const std::string& path)
+    {
+        BOOST_REQUIRE(eventually([this] { return this->ask("GET", "/plates/1").body == whole; }));
+        // Equal uploads that end connections would be taken for one that ends processes.
+        const auto target = path + "upload-" + std::to_string(this->asked);
+        return this->ask("POST", target, std::string(upload_bytes, 'x'));
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(early_resets)
+
+// Guards against a part of an answer that reaches its caller as a whole one.
+BOOST_AUTO_TEST_CASE(the_outcome_of_an_upload_that_may_not_be_repeated_is_unknown)
+{
+    faulty_deployment of;
+    upload_servers servers(of.place, 1);
+    for (const auto& how : cut_answers()) {
+        servers.begin(how);
+        const auto answer = of.upload("/orders/");
+        BOOST_TEST_CONTEXT(how)
+        {
+            BOOST_TEST(answer.status == status_bad_gateway);
+            BOOST_TEST(servers.uploads == 1);
+            BOOST_TEST(servers.on_kept_connection == how.kept);
+        }
+    }
+}
+
+// Guards against a broken answer to an idempotent request that another server could have answered.
+BOOST_AUTO_TEST_CASE(an_idempotent_upload_is_answered_by_another_server)
+{
+    faulty_deployment of;
+    upload_servers servers(of.place, 2);
+    for (const auto& how : cut_answers()) {
+        servers.begin(how);
+        const auto answer = of.upload("/plates/");
+        BOOST_TEST_CONTEXT(how)
+        {
+            BOOST_TEST(answer.status == status_ok);
+            BOOST_TEST(answer.body == whole);
+            BOOST_TEST(servers.uploads == 2);
+        }
+    }
+}
+
+// Guards against a whole answer that is lost because the server closes before it has read the
+// upload.
+BOOST_AUTO_TEST_CASE(an_answer_without_a_length_that_ends_in_order_is_whole)
+{
+    faulty_deployment of;
+    upload_servers servers(of.place, 1);
+    for (const auto pause : pauses) {
+        for (const auto& body : {part, std::string()}) {
+            const early_answer how{pause, 0, true, "", "\r\n" + body, true};
+            servers.begin(how);
+            const auto answer = of.upload("/orders/");
+            BOOST_TEST_CONTEXT(how)
+            {
+                BOOST_TEST(answer.status == status_ok);
+                BOOST_TEST(answer.body == body);
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/raw_server.cpp
+++ b/tests/support/raw_server.cpp
@@ -6,6 +6,8 @@
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
 
+#include <algorithm>
+#include <array>
 #include <atomic>
 #include <mutex>
 #include <thread>
@@ -46,12 +48,38 @@
         return request;
     }
 
+    std::optional<std::string> read_head() override
+    {
+        asio::error_code error;
+        asio::read_until(this->socket, asio::dynamic_buffer(this->buffer), head_end, error);
+        if (error) {
+            return std::nullopt;
+        }
+        return std::exchange(this->buffer, {});
+    }
+
+    void skip(std::size_t bytes) override
+    {
+        std::array<char, 16UL * 1024UL> part{};
+        asio::error_code error;
+        while (bytes > 0 && !error) {
+            const auto most = std::min(bytes, part.size());
+            bytes -= this->socket.read_some(asio::buffer(part.data(), most), error);
+        }
+    }
+
     void send(std::string_view bytes) override
     {
         asio::error_code ignored;
         asio::write(this->socket, asio::buffer(bytes), ignored);
     }
 
+    void finish_sending() override
+    {
+        asio::error_code ignored;
+        this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
     void wait_for_close() override
     {
         asio::error_code error;
@@ -61,6 +89,12 @@
         }
     }
 
+    void reset_at_end() override
+    {
+        asio::error_code ignored;
+        this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+
 private:
     tcp::socket& socket;
     std::string buffer;
--- a/tests/support/raw_server.hpp
+++ b/tests/support/raw_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -17,11 +18,24 @@
     // The next whole request, head and body; nothing once the peer has closed.
     virtual std::optional<std::string> read_request() = 0;
 
+    // The head of the next request, and the first bytes of its body; the rest stays unread.
+    // Nothing once the peer has closed.
+    virtual std::optional<std::string> read_head() = 0;
+
+    // Reads this many further bytes of a body, or until the peer closes.
+    virtual void skip(std::size_t bytes) = 0;
+
     // Sends bytes as they are.
     virtual void send(std::string_view bytes) = 0;
 
+    // Closes the sending side alone.
+    virtual void finish_sending() = 0;
+
     // Waits until the peer closes the connection.
     virtual void wait_for_close() = 0;
+
+    // Ends the connection with a reset when the script returns, in place of an orderly close.
+    virtual void reset_at_end() = 0;
 };
 
 // A TCP server on a kernel-chosen loopback port that does exactly what its script says. The
