Take an answer with a damaged line in its head for no answer

What callers saw: an answer in whose head the name of a field began with a blank or a tab came with that line joined to the value of the field before; one whose name began with a carriage return or a line feed came with its head ended there, and the rest of the head as the start of its body (MIXED).

Cause: http_parser is lenient at the start of a line. It takes a line that begins with a blank for the continuation of the one before (an obsolete form that a proxy may reject, RFC 9112, section 5.2), and ends the head at a carriage return or line feed whatever follows. All other bytes that may not stand in a name were refused.

Evidence: each of those bytes before, inside and after a name, and lines that are no fields, through a gateway.

Change: answer_head_check reads each head before http_parser does: a status line, lines that each begin with a name and a colon, an empty line. A line feed alone ends a line only where no line before it ended with both. The outcome of such a request is unknown, an idempotent one is sent again. malformed_answer logs the name that is wrong, without its value, in place of the first line.

--- a/src/azureshore/gateway/backend_pool.cpp
+++ b/src/azureshore/gateway/backend_pool.cpp
@@ -167,7 +167,7 @@
                           const detail::exchange_result& result) const
     {
         if (result.end == exchange_end::malformed && this->malformed) {
-            this->malformed({backend, request, result.first_line});
+            this->malformed({backend, request, result.line});
         }
     }
 
--- a/src/azureshore/gateway/backend_pool.hpp
+++ b/src/azureshore/gateway/backend_pool.hpp
@@ -27,7 +27,7 @@
     // The identifier that the caller gave the request; empty for a probe.
     std::string request;
     // At most 64 printable characters.
-    std::string first_line;
+    std::string line;
 };
 
 // Connections to backend servers, kept open between requests. A probe keeps its connection for
--- a/src/azureshore/gateway/gateway.cpp
+++ b/src/azureshore/gateway/gateway.cpp
@@ -298,7 +298,7 @@
             this->log({"malformed_answer",
                        {{"request", answer.request},
                         {"backend", answer.backend.value},
-                        {"read", answer.first_line}}});
+                        {"read", answer.line}}});
         }
     }
 
--- a/src/azureshore/gateway/internal/backend_connection.cpp
+++ b/src/azureshore/gateway/internal/backend_connection.cpp
@@ -165,7 +165,7 @@
         if (this->reader.state() != http1::read_state::complete) {
             const bool malformed = this->reader.state() == http1::read_state::malformed;
             this->finish(malformed ? exchange_end::malformed : this->end_without_room(), {},
-                         malformed ? this->reader.first_line() : std::string());
+                         malformed ? this->reader.malformed_line() : std::string());
             return;
         }
         auto answer = this->take_answer();
@@ -213,7 +213,7 @@
     this->finish(exchange_end::broken, {});
 }
 
-void backend_connection::finish(exchange_end end, http1::response answer, std::string first_line)
+void backend_connection::finish(exchange_end end, http1::response answer, std::string line)
 {
     this->timer.cancel();
     this->held->release();
@@ -222,7 +222,7 @@
     if (end != exchange_end::answered || !this->keep) {
         this->close();
     }
-    done({end, std::move(answer), std::move(first_line)});
+    done({end, std::move(answer), std::move(line)});
 }
 
 void backend_connection::abandon()
--- a/src/azureshore/gateway/internal/backend_connection.hpp
+++ b/src/azureshore/gateway/internal/backend_connection.hpp
@@ -36,8 +36,8 @@
 struct exchange_result {
     exchange_end end = exchange_end::broken;
     http1::response answer;
-    // If malformed: what the answer began with, fit for the log.
-    std::string first_line;
+    // If malformed: the line that shows it, fit for the log.
+    std::string line;
 };
 
 using exchange_done = std::function<void(exchange_result)>;
@@ -85,7 +85,7 @@
     void take_answers();
     http1::response take_answer();
     [[nodiscard]] exchange_end end_without_room() const;
-    void finish(exchange_end end, http1::response answer, std::string first_line = {});
+    void finish(exchange_end end, http1::response answer, std::string line = {});
     void stream_ended(bool at_end);
     void close();
     void set_timer(duration wait);
--- a/src/azureshore/http1/internal/field_rules.cpp
+++ b/src/azureshore/http1/internal/field_rules.cpp
@@ -6,13 +6,6 @@
 
 namespace azureshore::http1::detail {
 
-bool is_token_character(char letter)
-{
-    return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') ||
-           (letter >= '0' && letter <= '9') ||
-           std::string_view("!#$%&'*+-.^_`|~").find(letter) != std::string_view::npos;
-}
-
 void trim_values(std::vector<net::field>& fields)
 {
     for (auto& each : fields) {
--- a/src/azureshore/http1/internal/field_rules.hpp
+++ b/src/azureshore/http1/internal/field_rules.hpp
@@ -6,9 +6,6 @@
 
 namespace azureshore::http1::detail {
 
-// Whether a character may stand in a token (RFC 9110, section 5.6.2).
-bool is_token_character(char letter);
-
 // Removes white space after values, which is not part of them (RFC 9112, section 5.1).
 void trim_values(std::vector<net::field>& fields);
 
--- a/src/azureshore/http1/message_reader.cpp
+++ b/src/azureshore/http1/message_reader.cpp
@@ -1,7 +1,7 @@
 #include "azureshore/http1/message_reader.hpp"
 
 #include "azureshore/http1/internal/field_rules.hpp"
-#include "azureshore/net/status_line.hpp"
+#include "azureshore/net/answer_head.hpp"
 
 #include <http_parser.h>
 
@@ -14,8 +14,6 @@
 constexpr int first_final_status = 200;
 constexpr int no_content = 204;
 constexpr int not_modified = 304;
-// Bytes of a malformed answer that are kept for the log.
-constexpr std::size_t kept_start_bytes = 64;
 // The empty line that ends a header.
 constexpr std::size_t header_end_bytes = 2;
 // Memory for a body of unknown length begins with this and doubles.
@@ -94,8 +92,7 @@
     std::string body;
     std::size_t body_granted = 0;
     std::function<bool(std::size_t)> may_take;
-    // The first bytes of an answer.
-    std::string start;
+    net::answer_head_check head_check;
 
 private:
     // Starts on the header of a message, or of an answer after an interim one.
@@ -109,8 +106,7 @@
         this->interim_ended = false;
         this->fields.clear();
         this->in_value = false;
-        this->status_line.reset();
-        this->start.clear();
+        this->head_check.reset();
     }
 
     static parser& self(http_parser* from) { return *static_cast<parser*>(from->data); }
@@ -152,7 +148,7 @@
 
     std::size_t execute(std::string_view part)
     {
-        if (!this->check_status_line(part)) {
+        if (!this->check_answer_head(part)) {
             this->now = read_state::malformed;
             return 0;
         }
@@ -166,15 +162,12 @@
         return used;
     }
 
-    // http_parser accepts any number as a status. The bytes of a status line that is none are not
-    // passed to it.
-    bool check_status_line(std::string_view part)
+    // http_parser accepts any number as a status and some lines that are no fields. The bytes of a
+    // head that is invalid are not passed to it.
+    bool check_answer_head(std::string_view part)
     {
-        if (this->kind == message_kind::request || this->head_done) {
-            return true;
-        }
-        this->start += part.substr(0, kept_start_bytes - this->start.size());
-        return this->status_line.feed(part) != net::status_line_state::invalid;
+        return this->kind == message_kind::request || this->head_done ||
+               this->head_check.feed(part) != net::answer_head_state::invalid;
     }
 
     // Passes the parser no more bytes than the header may still have, so that the limit applies to
@@ -205,8 +198,7 @@
     // other.
     std::size_t execute_method(std::string_view part)
     {
-        const auto* const end =
-            std::find_if_not(part.begin(), part.end(), detail::is_token_character);
+        const auto* const end = std::find_if_not(part.begin(), part.end(), net::is_token_character);
         const auto length = static_cast<std::size_t>(end - part.begin());
         this->method.append(part.substr(0, length));
         if (end == part.end()) {
@@ -365,7 +357,6 @@
         return 0;
     }
 
-    net::status_line_check status_line;
     std::size_t interim_answers = 0;
     bool interim_ended = false;
 
@@ -422,9 +413,9 @@
            net::same_name(net::find_field(this->inner->fields, "Expect"), "100-continue");
 }
 
-std::string message_reader::first_line() const
+std::string message_reader::malformed_line() const
 {
-    return net::printable_line(this->inner->start);
+    return this->inner->head_check.line();
 }
 
 request message_reader::take_request()
--- a/src/azureshore/http1/message_reader.hpp
+++ b/src/azureshore/http1/message_reader.hpp
@@ -32,9 +32,8 @@
 
 // Reads one message after the other from the bytes of a connection, and passes over interim answers
 // before a response: up to eight, which count towards the limit of its header. A response whose
-// status line is not one of HTTP/1.0 or HTTP/1.1 with a status from 100 to 599 other than 101 is
-// malformed as soon as that shows. Requests with both a length
-// and chunks, and chunks under any other coding, are malformed: two readers could frame them
+// head fails answer_head_check is malformed as soon as that shows. Requests with both a length and
+// chunks, and chunks under any other coding, are malformed: two readers could frame them
 // differently.
 class message_reader {
 public:
@@ -61,8 +60,9 @@
     // Whether the sender of the request waits for 100 Continue before it sends the body.
     [[nodiscard]] bool expects_continue() const;
 
-    // The first line of a response as far as it was read, at most 64 characters, fit for the log.
-    [[nodiscard]] std::string first_line() const;
+    // The line that makes the head of a response malformed, without the value of a field; the
+    // status line if the fault is elsewhere. At most 64 characters, fit for the log.
+    [[nodiscard]] std::string malformed_line() const;
 
     // The message, once complete; the reader starts on the next one.
     request take_request();
--- a/src/azureshore/net/field_text.cpp
+++ b/src/azureshore/net/field_text.cpp
@@ -55,6 +55,13 @@
 
 } // namespace
 
+bool is_token_character(char letter)
+{
+    return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') ||
+           (letter >= '0' && letter <= '9') ||
+           std::string_view("!#$%&'*+-.^_`|~").find(letter) != std::string_view::npos;
+}
+
 bool same_name(std::string_view left, std::string_view right)
 {
     return std::equal(left.begin(), left.end(), right.begin(), right.end(),
--- a/src/azureshore/net/field_text.hpp
+++ b/src/azureshore/net/field_text.hpp
@@ -10,6 +10,10 @@
 
 namespace azureshore::net {
 
+// Whether a character may stand in a token, such as a method or the name of a field (RFC 9110,
+// section 5.6.2).
+bool is_token_character(char letter);
+
 // Whether two field names are the same, compared without case.
 bool same_name(std::string_view left, std::string_view right);
 
--- a/tests/gateway/broken_heads_tests.cpp
+++ b/tests/gateway/broken_heads_tests.cpp
@@ -1,4 +1,5 @@
-// Answers of backend servers whose head is not one: a status that is none, an end in the middle.
+// Answers of backend servers whose head is not one: a status that is none, a name of a field with
+// bytes that may not stand there, an end in the middle.
 
 #include "gateway/running_gateway.hpp"
 #include "support/broken_heads.hpp"
@@ -7,6 +8,9 @@
 
 #include <atomic>
 #include <iomanip>
+#include <memory>
+#include <utility>
+#include <vector>
 
 using namespace azureshore;
 using namespace azureshore::test;
@@ -89,6 +93,16 @@
 const std::string echo = "Request-Id: " + broken_answers::id + "\r\n";
 const std::string signature = "Signature: s\r\n";
 
+// Checks answers with this line at each place of their heads.
+void check_line(broken_answers& of, const std::string& line, bool on_kept_connection)
+{
+    for (const auto& fields : fields_with(line, echo, signature)) {
+        for (const auto& end : ends_of_answers()) {
+            of.check_unknown(status_line + fields + end, ending::closed, on_kept_connection);
+        }
+    }
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(gateway_broken_heads)
@@ -109,6 +123,86 @@
     }
 }
 
+// Guards against a damaged line that is passed on, or a body that is not the backend server's.
+BOOST_AUTO_TEST_CASE(an_answer_with_a_damaged_name_of_a_field_is_never_passed_on)
+{
+    broken_answers of;
+    bool kept = false;
+    for (const char byte : bytes_of_no_name()) {
+        for (const auto& name : names_with("X-Field", byte)) {
+            kept = !kept;
+            of.check_unknown(status_line + echo + signature + name + ": 2\r\n\r\nno",
+                             ending::closed, kept);
+        }
+        if (byte >= '\0' && byte <= ' ') {
+            for (const auto& name : names_with("X-Field", byte)) {
+                check_line(of, name + ": 2\r\n", kept);
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_with_a_line_that_is_no_field_is_never_passed_on)
+{
+    broken_answers of;
+    for (const auto& line : lines_of_no_field()) {
+        for (const bool kept : {false, true}) {
+            check_line(of, line, kept);
+        }
+    }
+}
+
+// Guards against an operator who can't find what is wrong, and a value that is secret in the log.
+BOOST_AUTO_TEST_CASE(the_log_names_the_damaged_field_without_its_value)
+{
+    const std::vector<std::pair<std::string, std::string>> rows{
+        {"Set-Coo\x01kie: secret\r\n", "Set-Coo?"},
+        {"\rX-Field: secret\r\n", "?X"},
+        {"X-Field: secret\x02\r\n", "X-Field:"},
+    };
+    for (const auto& [line, logged] : rows) {
+        broken_answers of;
+        of.check_unknown(status_line + echo + line + "\r\n", ending::by_gateway);
+        const auto log = of.gateway.log();
+        BOOST_TEST(log.find("malformed_answer request=r-1 backend=plate-1 read=" + logged + '\n') !=
+                       std::string::npos,
+                   log);
+        BOOST_TEST(log.find("secret") == std::string::npos);
+    }
+}
+
+// Guards against a backend server that is taken for healthy by a damaged health answer.
+BOOST_AUTO_TEST_CASE(a_health_answer_with_a_damaged_head_is_none)
+{
+    for (const std::string line : {" Content-Length: 0\r\n", "\rX: 1\r\n", "X\x01: 1\r\n"}) {
+        std::atomic<int> runs{0};
+        const raw_server damaged([&](raw_connection& connection, int) {
+            while (const auto request = connection.read_request()) {
+                runs += request->starts_with("GET /health ") ? 0 : 1;
+                connection.send(status_line + "Instance: damaged\r\n" + line +
+                                "Content-Length: 0\r\n\r\n");
+            }
+        });
+        const auto right =
+            make_backend("plate-1", [](raw_connection& connection, const std::string& request) {
+                connection.send(answer_to(request, "ok"));
+                return true;
+            });
+        running_gateway gateway;
+        gateway.add_backend("damaged", damaged);
+        gateway.add_backend("plate-1", *right);
+        raw_client caller(gateway.port());
+        BOOST_TEST_CONTEXT(std::quoted(line))
+        {
+            for (int i = 0; i < 20; ++i) {
+                caller.send(request_text("POST /orders/1", "r-1", "", "x"));
+                BOOST_TEST(caller.read_until("\r\n\r\nok").starts_with("HTTP/1.1 200 "));
+            }
+            BOOST_TEST(runs == 0);
+        }
+    }
+}
+
 // Guards against a head that stops and passes for the whole of an answer without a body.
 BOOST_AUTO_TEST_CASE(an_answer_that_stops_in_its_head_is_never_passed_on)
 {
@@ -134,8 +228,9 @@
 // The same for an idempotent request: another backend server answers it.
 BOOST_AUTO_TEST_CASE(after_a_broken_head_an_idempotent_request_is_sent_to_another_server)
 {
-    const std::vector<std::string> all{"HTTP/1.1 000 OK\r\n" + signature + "\r\n",
-                                       status_line + "Content-Length: 0\r\n"};
+    const std::vector<std::string> all{
+        "HTTP/1.1 000 OK\r\n" + signature + "\r\n", status_line + " X: 1\r\n" + signature + "\r\n",
+        status_line + "\rX: 1\r\n" + signature + "\r\n", status_line + "Content-Length: 0\r\n"};
     for (const auto& broken : all) {
         std::atomic<int> came{0};
         const auto answer = [&](raw_connection& connection, const std::string& request) {
