Keep an answer with a folded first line from corrupting the heap

What would be seen: a process that calls a server through libcurl (the store's client, the second request path, azureshorectl) ends, hangs or reads wrong memory when an answer's first field begins with a blank. Found while the names of fields were varied; nobody reported it.

Cause: libcurl 7.88.1 joins a line that begins with a blank to the field before. It keeps a pointer to that field in the handle, also after the transfer ended and the field was freed; http_client used handles again.

Evidence: answers with such a line, each after a right one, over one client. Before, one run on x86-64:

fatal error: in "broken_answers_to_calls/a_first_line_that_begins_with_a_blank_ does_no_harm_after_other_answers": signal: SIGABRT (application abort requested)

and a second run hung inside malloc.

Change: each transfer has a handle of its own, in which there is no field before. Connections are kept by the multi handle and are reused as before. What the new handles cost was not measured.

After: three runs of test_net and one of test_proxy without a failure.

--- a/src/azureshore/net/http_client.cpp
+++ b/src/azureshore/net/http_client.cpp
@@ -17,7 +17,6 @@
 
 namespace {
 
-constexpr std::size_t max_idle_handles = 256;
 constexpr long max_idle_connections = 1024;
 
 void initialize_curl()
@@ -59,8 +58,8 @@
     transfer_number start(http_request request, std::function<void(http_result)> done)
     {
         const transfer_number number = ++this->last_number;
-        auto transfer = std::make_unique<detail::curl_transfer>(
-            number, this->take_handle(), std::move(request), std::move(done));
+        auto transfer =
+            std::make_unique<detail::curl_transfer>(number, std::move(request), std::move(done));
         CURL* const easy = transfer->handle();
         curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &state::open_socket);
         curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
@@ -85,7 +84,6 @@
         this->transfers.erase(found);
         // Removing a request that is under way closes its connection.
         curl_multi_remove_handle(this->multi.get(), transfer->handle());
-        this->keep_handle(transfer->release_handle());
         return connected;
     }
 
@@ -98,7 +96,6 @@
         }
         this->transfers.clear();
         this->multi.reset();
-        this->idle_handles.clear();
         this->sockets.clear();
     }
 
@@ -107,23 +104,6 @@
 private:
     using socket_map = std::unordered_map<curl_socket_t, std::shared_ptr<watched_socket>>;
 
-    detail::curl_easy_pointer take_handle()
-    {
-        if (this->idle_handles.empty()) {
-            return detail::curl_easy_pointer(curl_easy_init());
-        }
-        auto handle = std::move(this->idle_handles.back());
-        this->idle_handles.pop_back();
-        return handle;
-    }
-
-    void keep_handle(detail::curl_easy_pointer handle)
-    {
-        if (this->idle_handles.size() < max_idle_handles) {
-            this->idle_handles.push_back(std::move(handle));
-        }
-    }
-
     // The request can't go out; its end still comes from the executor, as every other.
     void refuse_later(transfer_number number)
     {
@@ -143,7 +123,7 @@
         auto result = transfer->finish(code);
         curl_multi_remove_handle(this->multi.get(), transfer->handle());
         auto done = std::move(transfer->done);
-        this->keep_handle(transfer->release_handle());
+        transfer.reset();
         done(std::move(result));
     }
 
@@ -266,7 +246,6 @@
     asio::io_context& executor;
     asio::steady_timer timer;
     socket_map sockets;
-    std::vector<detail::curl_easy_pointer> idle_handles;
     std::unordered_map<transfer_number, std::unique_ptr<detail::curl_transfer>> transfers;
     std::unique_ptr<CURLM, curl_multi_deleter> multi;
     transfer_number last_number = 0;
--- a/src/azureshore/net/internal/curl_transfer.cpp
+++ b/src/azureshore/net/internal/curl_transfer.cpp
@@ -44,9 +44,9 @@
 
 } // namespace
 
-curl_transfer::curl_transfer(transfer_number id, curl_easy_pointer handle, http_request asked,
+curl_transfer::curl_transfer(transfer_number id, http_request asked,
                              std::function<void(http_result)> on_done)
-    : number(id), done(std::move(on_done)), easy(std::move(handle)), request(std::move(asked)),
+    : number(id), done(std::move(on_done)), easy(curl_easy_init()), request(std::move(asked)),
       started(std::chrono::steady_clock::now())
 {
     this->set_connection_options();
@@ -258,10 +258,4 @@
     return std::move(this->result);
 }
 
-curl_easy_pointer curl_transfer::release_handle()
-{
-    curl_easy_reset(this->easy.get());
-    return std::move(this->easy);
-}
-
 } // namespace azureshore::net::detail
--- a/src/azureshore/net/internal/curl_transfer.hpp
+++ b/src/azureshore/net/internal/curl_transfer.hpp
@@ -21,10 +21,12 @@
 
 using curl_easy_pointer = std::unique_ptr<CURL, curl_easy_deleter>;
 
-// One request under way in libcurl.
+// One request under way in libcurl. Each has a handle of its own: libcurl 7.88.1 keeps a pointer
+// into the head of a handle's last answer after that head is freed, and writes there when the next
+// answer begins with a line that continues another.
 class curl_transfer {
 public:
-    curl_transfer(transfer_number number, curl_easy_pointer handle, http_request request,
+    curl_transfer(transfer_number number, http_request request,
                   std::function<void(http_result)> done);
 
     // Whether every field can be sent as it is.
@@ -38,9 +40,6 @@
 
     [[nodiscard]] CURL* handle() const { return this->easy.get(); }
 
-    // Hands the handle on, so that another request can use it.
-    curl_easy_pointer release_handle();
-
     transfer_number number;
     std::function<void(http_result)> done;
 
