Take an answer with a damaged head for no answer in calls through libcurl

Change: each line passes answer_head_check before its field is kept, as at the gateway. A status line in the middle of a head no longer begins another one.

After: no failure in test_net, test_proxy, test_http1 and test_gateway.

--- a/src/azureshore/net/internal/curl_transfer.cpp
+++ b/src/azureshore/net/internal/curl_transfer.cpp
@@ -1,7 +1,6 @@
 #include "azureshore/net/internal/curl_transfer.hpp"
 
 #include "azureshore/net/field_text.hpp"
-#include "azureshore/net/status_line.hpp"
 
 #include <algorithm>
 #include <array>
@@ -161,15 +160,25 @@
         this->answer_too_large = true;
         return false;
     }
-    if (line.starts_with("HTTP/")) {
-        return this->take_status_line(line);
+    const bool is_status_line =
+        line.starts_with("HTTP/") && (this->heads == 0 || this->headers_complete);
+    if (this->headers_complete && !is_status_line) {
+        // Trailers after the body are not passed on.
+        return true;
     }
-    if (trimmed(line).empty()) {
-        this->headers_complete = true;
-        this->check_echo();
+    if (is_status_line) {
+        this->begin_head();
+    }
+    const auto state = this->head_check.feed(line);
+    if (state == answer_head_state::invalid || this->heads > max_interim_answers + 1) {
+        this->malformed = true;
+        return false;
     }
+    this->headers_complete = state == answer_head_state::complete;
     if (this->headers_complete) {
-        // Trailers after the body are not passed on.
+        this->check_echo();
+    }
+    if (is_status_line || this->headers_complete) {
         return true;
     }
     const auto colon = line.find(':');
@@ -180,15 +189,13 @@
     return true;
 }
 
-// libcurl takes some numbers for a status that are none.
-bool curl_transfer::take_status_line(std::string_view line)
+// An interim answer may have come before this one.
+void curl_transfer::begin_head()
 {
-    this->malformed = !is_status_line(line) || this->status_lines > max_interim_answers;
-    ++this->status_lines;
-    // An interim answer may have come before this one.
+    ++this->heads;
+    this->head_check.reset();
     this->result.headers.clear();
     this->headers_complete = false;
-    return !this->malformed;
 }
 
 void curl_transfer::check_echo()
--- a/src/azureshore/net/internal/curl_transfer.hpp
+++ b/src/azureshore/net/internal/curl_transfer.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "azureshore/net/answer_head.hpp"
 #include "azureshore/net/http_client.hpp"
 
 #include <curl/curl.h>
@@ -54,7 +55,7 @@
     void add_line(const std::string& line);
     void check_echo();
     bool take_header(std::string_view line);
-    bool take_status_line(std::string_view line);
+    void begin_head();
     bool take_body(std::string_view bytes);
     [[nodiscard]] bool ends_by_its_own_length() const;
     [[nodiscard]] failure failure_from(CURLcode code) const;
@@ -65,10 +66,12 @@
     std::string url;
     http_result result;
     std::size_t header_bytes = 0;
+    answer_head_check head_check;
+    // Heads of answers that have begun, those of interim ones among them.
+    std::size_t heads = 0;
     bool headers_complete = false;
     bool answer_too_large = false;
     bool malformed = false;
-    std::size_t status_lines = 0;
     bool sent_once = false;
     time_point started;
 };
--- a/tests/net/broken_answers_tests.cpp
+++ b/tests/net/broken_answers_tests.cpp
@@ -1,11 +1,13 @@
-// Answers that libcurl does not read as they are.
+// Answers that libcurl does not read as they are, or takes for whole ones though they are not.
 
 #include "azureshore/net/http_client.hpp"
+#include "support/broken_heads.hpp"
 #include "support/raw_server.hpp"
 
 #include <asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <iomanip>
 #include <optional>
 #include <string>
 
@@ -20,12 +22,16 @@
 // A client, and a server that gives one answer after the other.
 class broken_answers {
 public:
-    // What the client makes of an answer after which the server closes the connection.
-    http_result read(const std::string& answer)
+    // What the client makes of an answer after which the server closes or resets the connection.
+    http_result read(const std::string& answer, bool reset = false,
+                     const std::string& method = "GET", std::size_t body_bytes = 0)
     {
         this->next = answer;
+        this->with_reset = reset;
         http_request request;
         request.where = {"127.0.0.1", this->server.port()};
+        request.method = method;
+        request.body = std::string(body_bytes, 'x');
         std::optional<http_result> result;
         this->client.start(std::move(request), [&](http_result given) {
             result = std::move(given);
@@ -36,18 +42,42 @@
         return std::move(result).value();
     }
 
+    void check_none(const std::string& answer, bool reset = false,
+                    const std::string& method = "GET", std::size_t body_bytes = 0)
+    {
+        const auto result = this->read(answer, reset, method, body_bytes);
+        BOOST_TEST((result.why != failure::none),
+                   method << ' ' << std::quoted(answer) << (reset ? " and a reset" : "")
+                          << " passed with status " << result.status << " and body "
+                          << std::quoted(result.body));
+    }
+
 private:
     // Written between requests, read while one is under way.
     std::string next;
+    bool with_reset = false;
     raw_server server{[this](raw_connection& connection, int) {
-        if (connection.read_head()) {
-            connection.send(this->next);
+        if (!connection.read_head()) {
+            return;
+        }
+        connection.send(this->next);
+        if (this->with_reset) {
+            connection.reset_at_end();
         }
     }};
     asio::io_context executor;
     http_client client{this->executor};
 };
 
+void check_line(broken_answers& of, const std::string& line)
+{
+    for (const auto& fields : fields_with(line, "X-One: 1\r\n", "X-Other: 2\r\n")) {
+        for (const auto& end : ends_of_answers()) {
+            of.check_none(status_line + fields + end);
+        }
+    }
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(broken_answers_to_calls)
@@ -65,6 +95,52 @@
     }
 }
 
+// Guards against a damaged line that is passed on, or that loses the framing of the answer.
+BOOST_AUTO_TEST_CASE(an_answer_with_a_damaged_name_of_a_field_is_malformed)
+{
+    broken_answers of;
+    for (const char byte : bytes_of_no_name()) {
+        for (const std::string field : {"X-Field", "Content-Length"}) {
+            for (const auto& name : names_with(field, byte)) {
+                of.check_none(status_line + "X-One: 1\r\n" + name + ": 2\r\n" +
+                              ends_of_answers().front());
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_with_a_line_that_is_no_field_is_malformed)
+{
+    broken_answers of;
+    for (const auto& line : lines_of_no_field()) {
+        check_line(of, line);
+    }
+    for (const std::string start : {" ", "\t", "\r", "\n"}) {
+        check_line(of, start + "X-Field: 2\r\n");
+    }
+}
+
+// Guards against a check that is stricter than the protocol.
+BOOST_AUTO_TEST_CASE(a_whole_answer_with_any_byte_of_a_name_is_read)
+{
+    broken_answers of;
+    std::string name;
+    for (int byte = 0; byte < 256; ++byte) {
+        if (may_stand_in_a_name(static_cast<char>(byte))) {
+            name += static_cast<char>(byte);
+        }
+    }
+    for (const std::string body :
+         {"Content-Length: 2\r\n\r\nok",
+          "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX: 1\r\n\r\n"}) {
+        const auto result = of.read("HTTP/1.1 100 Continue\r\nX-Interim: 1\r\n\r\n" + status_line +
+                                    name + ":\t a\t\xe4 b \r\nX-Empty:\r\n" + body);
+        BOOST_TEST((result.why == failure::none));
+        BOOST_TEST(result.body == "ok");
+        BOOST_TEST(result.header(name) == "a\t\xe4 b");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace azureshore::net
--- a/tests/support/broken_heads.hpp
+++ b/tests/support/broken_heads.hpp
@@ -45,8 +45,9 @@
 // Lines that are no fields, though each byte may stand in a head.
 inline const std::vector<std::string>& lines_of_no_field()
 {
-    static const std::vector<std::string> lines{": value\r\n", "X-Field\r\n", "X-Field value\r\n",
-                                                " \r\n", " X-Field: folded\r\n"};
+    static const std::vector<std::string> lines{": value\r\n",          "X-Field\r\n",
+                                                "X-Field value\r\n",    " \r\n",
+                                                " X-Field: folded\r\n", "HTTP/1.1 200 OK\r\n"};
     return lines;
 }
 
