Take a head that stops for no answer in calls through libcurl

What callers saw: on the second request path, a server that closed within the head of its answer made callers get a 200 with an empty body where a length of 0 had come already, or a 204 or 304 (MIXED, ORDER). A 503 that says "not run" and stops there was taken as proof that the request had not run (REFUSED, TWICE).

Cause: libcurl reports success when a connection closes within the head, if no body is missing. curl_transfer then judged by the fields that had come.

Change: an answer ends by its own length only once its head is complete.

--- a/src/azureshore/net/internal/curl_transfer.cpp
+++ b/src/azureshore/net/internal/curl_transfer.cpp
@@ -219,6 +219,10 @@
 
 bool curl_transfer::ends_by_its_own_length() const
 {
+    // libcurl also reports success when the connection closed within the head.
+    if (!this->headers_complete) {
+        return false;
+    }
     const int status = this->result.status;
     if (this->request.method == "HEAD" || status == no_content || status == not_modified) {
         return true;
--- a/tests/net/broken_answers_tests.cpp
+++ b/tests/net/broken_answers_tests.cpp
@@ -120,6 +120,37 @@
     }
 }
 
+// Guards against a head that stops and passes for the whole of an answer without a body.
+BOOST_AUTO_TEST_CASE(an_answer_that_stops_in_its_head_is_cut_short)
+{
+    broken_answers of;
+    for (const std::string end :
+         {"", "Content-Length: 0\r\n", "Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n"}) {
+        for (const std::string status : {"200 OK", "204 No Content", "304 Not Modified"}) {
+            const auto whole = "HTTP/1.1 " + status + "\r\nX-One: 1\r\n" + end + "\r\n";
+            for (std::size_t length = 0; length < whole.size(); ++length) {
+                of.check_none(whole.substr(0, length));
+                of.check_none(whole.substr(0, length), false, "HEAD");
+            }
+            of.check_none(whole.substr(0, whole.size() - 2), true);
+        }
+    }
+}
+
+// Guards against a part of an answer that passes for a whole one, because the reset was told to the
+// write of the request.
+BOOST_AUTO_TEST_CASE(an_early_answer_that_a_reset_cuts_short_is_no_answer)
+{
+    constexpr std::size_t upload_bytes = 6UL * 1024UL * 1024UL;
+    broken_answers of;
+    for (const std::string end : {"\r\nno", "\r\n", "Content-Length: 5\r\n\r\nno",
+                                  "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n"}) {
+        for (int i = 0; i < 10; ++i) {
+            of.check_none(status_line + end, true, "POST", upload_bytes);
+        }
+    }
+}
+
 // Guards against a check that is stricter than the protocol.
 BOOST_AUTO_TEST_CASE(a_whole_answer_with_any_byte_of_a_name_is_read)
 {
