Carry no two requests of one identifier on a backend server's connection

What callers saw: a faulty backend server that wrote an earlier refusal once more on a kept connection made a caller get 503, "not run", for a request that it was running (REFUSED), and the gateway send it to a second server, which ran it too (TWICE).

Cause: an answer is matched to its request by the caller's identifier. If the same identifier comes again on a connection, or requests without any do, the copy of the first answer matches the second request. A copy that comes while the connection is idle, or where a health check's answer is expected, or before a request with another identifier, did no harm before. The gateway's own second attempts go to other servers.

Evidence: two servers that refuse one request and run the next; the copy comes 0, 5 or 50 ms later while idle, before or after the next health answer, or with the next request; statuses 503, 429, 421, 400, and for comparison 200 and 500; equal, different and no identifiers.

Change: a connection remembers the identifiers of its requests. One that comes again goes out on a new connection, on which no copy can come. A connection is closed after 256 requests, so that what it remembers is bounded.

--- a/src/azureshore/gateway/backend_pool.cpp
+++ b/src/azureshore/gateway/backend_pool.cpp
@@ -91,14 +91,15 @@
     void send(const balance::attempt_order& order,
               const std::shared_ptr<const http1::request>& request, attempt_done done)
     {
-        const auto connection = this->connection_for(order);
+        const std::string id(net::find_field(request->fields, this->words.request_id));
+        const auto connection = this->connection_for(order, id);
         this->running[order.attempt] = connection;
         detail::exchange next;
         next.bytes =
             http1::write_request_head(this->completed(order, *request), request->body.size());
         next.body = {request, &request->body};
         next.is_head = request->method == "HEAD";
-        const std::string id(net::find_field(request->fields, this->words.request_id));
+        next.id = id;
         next.matches = [this, id](const http1::response& answer) {
             return net::find_field(answer.fields, this->words.request_id) == id;
         };
@@ -171,16 +172,18 @@
         }
     }
 
-    connection_ptr connection_for(const balance::attempt_order& order)
+    // The connection of the probe, unless it has carried a request of the same identifier.
+    connection_ptr connection_for(const balance::attempt_order& order, const std::string& id)
     {
         if (order.probe) {
             const auto found = this->held.find(*order.probe);
             if (found != this->held.end()) {
                 auto kept = found->second.connection;
                 this->held.erase(found);
-                if (kept->reusable()) {
+                if (kept->reusable() && !kept->has_carried(id)) {
                     return kept;
                 }
+                this->keep(order.backend, kept);
             }
         }
         return this->open(order.endpoint);
--- a/src/azureshore/gateway/internal/backend_connection.cpp
+++ b/src/azureshore/gateway/internal/backend_connection.cpp
@@ -1,5 +1,7 @@
 #include "azureshore/gateway/internal/backend_connection.hpp"
 
+#include "azureshore/core/hash.hpp"
+
 #include <asio/buffer.hpp>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -19,6 +21,8 @@
 constexpr int receive_buffer_bytes = 128 * 1024;
 // Most of a request's body that is sent before other connections have their turn.
 constexpr std::size_t most_sent_at_once = 64UL * 1024UL;
+// A connection remembers the identifiers of its exchanges, so it carries no more than these.
+constexpr std::size_t max_exchanges = 256;
 constexpr duration connect_limit = std::chrono::milliseconds(1000);
 
 } // namespace
@@ -38,6 +42,9 @@
     this->current = std::move(next);
     this->written = false;
     this->write_failed = false;
+    if (this->current->id) {
+        this->carried.push_back(stable_hash(*this->current->id));
+    }
     this->reader.expect_no_body(this->current->is_head);
     if (!this->connected) {
         this->connect();
@@ -173,7 +180,8 @@
         if (this->current->matches(answer)) {
             // Bytes after the answer, or a request that is not written whole, leave the
             // connection unfit for another exchange.
-            this->keep = this->keep && this->pending.empty() && this->written;
+            this->keep = this->keep && this->pending.empty() && this->written &&
+                         this->carried.size() < max_exchanges;
             this->finish(exchange_end::answered, std::move(answer));
             return;
         }
@@ -237,6 +245,12 @@
     return this->connected && !this->closed && this->keep;
 }
 
+bool backend_connection::has_carried(const std::string& id) const
+{
+    return std::find(this->carried.begin(), this->carried.end(), stable_hash(id)) !=
+           this->carried.end();
+}
+
 void backend_connection::close()
 {
     if (this->closed) {
--- a/src/azureshore/gateway/internal/backend_connection.hpp
+++ b/src/azureshore/gateway/internal/backend_connection.hpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace azureshore::gateway::detail {
 
@@ -49,6 +50,8 @@
     // Sent after `bytes` from where it stands. May be empty.
     std::shared_ptr<const std::string> body;
     bool is_head = false;
+    // The identifier by which `matches` knows the answer; a health check has none.
+    std::optional<std::string> id;
     // Zero waits for as long as the connection holds.
     duration timeout{};
     // Whether an answer is the one to this request; others are skipped, as a backend server may
@@ -73,6 +76,10 @@
     // Whether it can carry another exchange.
     [[nodiscard]] bool reusable() const;
 
+    // Whether it has carried an exchange of this identifier. It must not carry another one: a copy
+    // of the answer to the first could not be told from the answer to the second.
+    [[nodiscard]] bool has_carried(const std::string& id) const;
+
     // Called when an idle connection closes.
     std::function<void()> closed_idle;
 
@@ -100,6 +107,8 @@
     // The part of the answer under way; the answer keeps it.
     std::shared_ptr<answer_memory::share> held;
     std::optional<exchange> current;
+    // Hashes of the identifiers of all exchanges.
+    std::vector<std::uint64_t> carried;
     bool connected = false;
     bool closed = false;
     // Bytes of the current request that are sent, and whether these are all.
