--- a/src/azureshore/gateway/internal/backend_connection.cpp
+++ b/src/azureshore/gateway/internal/backend_connection.cpp
@@ -21,8 +21,8 @@
 constexpr int receive_buffer_bytes = 128 * 1024;
 // Most of a request's body that is sent before other connections have their turn.
 constexpr std::size_t most_sent_at_once = 64UL * 1024UL;
-// A connection remembers the identifiers of its exchanges, so it carries no more than these.
-constexpr std::size_t max_exchanges = 256;
+// A connection remembers the identifiers of its requests, so it carries no more than these.
+constexpr std::size_t max_requests = 256;
 constexpr duration connect_limit = std::chrono::milliseconds(1000);
 
 } // namespace
@@ -181,7 +181,7 @@
             // Bytes after the answer, or a request that is not written whole, leave the
             // connection unfit for another exchange.
             this->keep = this->keep && this->pending.empty() && this->written &&
-                         this->carried.size() < max_exchanges;
+                         this->carried.size() < max_requests;
             this->finish(exchange_end::answered, std::move(answer));
             return;
         }
--- a/src/azureshore/gateway/internal/backend_connection.hpp
+++ b/src/azureshore/gateway/internal/backend_connection.hpp
@@ -50,7 +50,8 @@
     // Sent after `bytes` from where it stands. May be empty.
     std::shared_ptr<const std::string> body;
     bool is_head = false;
-    // The identifier by which `matches` knows the answer; a health check has none.
+    // The caller's identifier, by which `matches` knows the answer; empty if the caller gave none.
+    // Nothing for a health check.
     std::optional<std::string> id;
     // Zero waits for as long as the connection holds.
     duration timeout{};
@@ -76,8 +77,8 @@
     // Whether it can carry another exchange.
     [[nodiscard]] bool reusable() const;
 
-    // Whether it has carried an exchange of this identifier. It must not carry another one: a copy
-    // of the answer to the first could not be told from the answer to the second.
+    // Whether it has carried a request of this identifier. It must not carry another one: a copy of
+    // the answer to the first could not be told from the answer to the second.
     [[nodiscard]] bool has_carried(const std::string& id) const;
 
     // Called when an idle connection closes.
@@ -107,7 +108,7 @@
     // The part of the answer under way; the answer keeps it.
     std::shared_ptr<answer_memory::share> held;
     std::optional<exchange> current;
-    // Hashes of the identifiers of all exchanges.
+    // Hashes of the identifiers of all requests so far.
     std::vector<std::uint64_t> carried;
     bool connected = false;
     bool closed = false;
--- a/src/azureshore/net/status_line.cpp
+++ b/src/azureshore/net/status_line.cpp
@@ -42,13 +42,6 @@
     return this->state;
 }
 
-void status_line_check::reset()
-{
-    this->state = status_line_state::need_more;
-    this->seen.clear();
-    this->after_return = false;
-}
-
 bool status_line_check::accepts(char next) const
 {
     if (this->after_return) {
@@ -73,13 +66,6 @@
     return at > status_end || next == ' ' || next == '\r' || next == '\n';
 }
 
-bool is_status_line(std::string_view line)
-{
-    status_line_check check;
-    return check.feed(line) == status_line_state::valid ||
-           check.feed("\n") == status_line_state::valid;
-}
-
 std::string printable_line(std::string_view text)
 {
     const auto end = std::min(text.find_first_of("\r\n"), max_printable);
--- a/src/azureshore/net/status_line.hpp
+++ b/src/azureshore/net/status_line.hpp
@@ -20,9 +20,6 @@
     // Takes the next bytes. Those after the line, or after the first that is invalid, are ignored.
     status_line_state feed(std::string_view bytes);
 
-    // Starts with the next line.
-    void reset();
-
 private:
     [[nodiscard]] bool accepts(char next) const;
 
@@ -32,9 +29,6 @@
     bool after_return = false;
 };
 
-// Whether a whole line, with or without its end, is a status line.
-bool is_status_line(std::string_view line);
-
 // The first line of a text for the log: at most 64 characters, with a question mark in place of
 // each one that is not printable.
 std::string printable_line(std::string_view text);
