Keep no version out of force because of one client account

The replaced key went on being accepted, the new keys got 401, and a gateway that restarted meanwhile had no configuration, was not ready and answered 503.

Cause: read_account() refused names with a character outside '!' to '~', a stricter rule than that of header fields, and its exception ended the reading of the whole version.

Change: an account keeps its keys whatever else of it can't be used. If a header field can't carry its name unchanged, or a member can't be read, it is logged (account_unusable) and refused alone, with 503 unusable_account. Names and keys follow RFC 9110, section 5.5: spaces and UTF-8 are allowed.

--- a/src/azureshore/balance/account_directory.cpp
+++ b/src/azureshore/balance/account_directory.cpp
@@ -10,10 +10,19 @@
 
 namespace {
 
-bool is_sendable(std::string_view key)
+// Whether a header field carries a text unchanged (RFC 9110, section 5.5). White space within a
+// value is part of it; around a value, recipients drop it. Bytes of UTF-8 are allowed.
+bool is_sendable(std::string_view text)
 {
-    return !key.empty() && key.size() <= account_directory::max_key_bytes &&
-           std::all_of(key.begin(), key.end(), [](char each) { return each > ' ' && each <= '~'; });
+    constexpr char delete_character = 0x7f;
+    const auto is_blank = [](char each) {
+        return each == ' ' || each == '\t';
+    };
+    const auto is_control = [](char each) {
+        return (each >= 0 && each < ' ' && each != '\t') || each == delete_character;
+    };
+    return !text.empty() && !is_blank(text.front()) && !is_blank(text.back()) &&
+           std::none_of(text.begin(), text.end(), is_control);
 }
 
 bool same_key(std::string_view left, std::string_view right)
@@ -35,6 +44,14 @@
     return "";
 }
 
+std::string problem_of(const client_account& account)
+{
+    if (!account.defect.empty()) {
+        return account.defect;
+    }
+    return is_sendable(account.name.value) ? "" : "no header field can carry the name unchanged";
+}
+
 account_directory::account_directory(std::shared_ptr<const traffic_configuration> of)
     : configuration(std::move(of))
 {
--- a/src/azureshore/balance/account_directory.hpp
+++ b/src/azureshore/balance/account_directory.hpp
@@ -15,7 +15,7 @@
 
 // Why a key of a client account is not accepted.
 enum class key_problem : std::uint8_t {
-    // Empty, too long, or with characters that can't be sent in a header field.
+    // Not a value that a header field can carry unchanged (RFC 9110, section 5.5).
     not_sendable,
     // Another account has the same key, so that it identifies neither.
     shared_with_another_account,
@@ -30,13 +30,15 @@
     key_problem problem = key_problem::not_sendable;
 };
 
+// Returns why requests of an account can't be served, or nothing if they can: its configuration
+// could not be read, or backend servers can't be told its name in a header field. Its keys are
+// known all the same.
+std::string problem_of(const client_account& account);
+
 // Finds client accounts by key. Keys are hashed with a secret, so that the time of a search does
 // not tell callers how much of a key they have guessed.
 class account_directory {
 public:
-    // The longest key that is accepted, in bytes.
-    static constexpr std::size_t max_key_bytes = 512;
-
     account_directory() = default;
 
     // Indexes the accounts of a configuration, which the directory keeps alive.
--- a/src/azureshore/balance/dispatch_types.hpp
+++ b/src/azureshore/balance/dispatch_types.hpp
@@ -104,6 +104,8 @@
     unknown_key,
     // No key of the configuration, which may not be the latest.
     no_current_key,
+    // The client account of the key can't be served, see problem_of().
+    unusable_account,
     quota_exceeded,
     // It is not known whether the request lies within the quota of its account.
     quota_unavailable,
--- a/src/azureshore/balance/dispatcher.cpp
+++ b/src/azureshore/balance/dispatcher.cpp
@@ -33,6 +33,8 @@
         return "unknown_key";
     case refusal_cause::no_current_key:
         return "no_current_key";
+    case refusal_cause::unusable_account:
+        return "unusable_account";
     case refusal_cause::quota_exceeded:
         return "quota_exceeded";
     case refusal_cause::quota_unavailable:
--- a/src/azureshore/balance/internal/admission.cpp
+++ b/src/azureshore/balance/internal/admission.cpp
@@ -151,13 +151,13 @@
     request.configuration = this->configuration;
     request.matched_route = matched;
     request.priority = matched->priority;
-    const bool authorized = this->authorize(request);
+    const auto not_authorized = this->authorize(request);
     request.service = this->service_selector.next(*matched, this->hooks.random);
     request.response_time = &this->response_time_of(request);
     const auto caller_timeout = incoming.caller_timeout.value_or(default_caller_timeout);
     request.deadline = incoming.arrived + std::min(matched->timeout, caller_timeout);
-    if (!authorized) {
-        this->refuse(request, this->refusal_of_key());
+    if (not_authorized) {
+        this->refuse(request, *not_authorized);
         return;
     }
     this->service(request.service).retries.add_request(this->now());
--- a/src/azureshore/balance/internal/attempts.cpp
+++ b/src/azureshore/balance/internal/attempts.cpp
@@ -33,11 +33,11 @@
         return;
     }
     // The key may have been removed since the request was admitted.
-    if (!this->authorize(request)) {
+    if (const auto not_authorized = this->authorize(request)) {
         this->release_connection(choice);
         this->end_exposure(request);
         if (request.running_attempts.empty()) {
-            this->refuse(request, this->refusal_of_key());
+            this->refuse(request, *not_authorized);
         }
         return;
     }
--- a/src/azureshore/balance/internal/authorization.cpp
+++ b/src/azureshore/balance/internal/authorization.cpp
@@ -17,26 +17,39 @@
                               {"cause", std::string(to_string(each.problem))},
                               {"version", std::to_string(this->configuration->version)}}});
     }
+    for (const auto& each : this->configuration->accounts) {
+        if (const auto problem = problem_of(each); !problem.empty()) {
+            this->hooks.decided({"account_unusable",
+                                 {{"account", each.name.value},
+                                  {"cause", problem},
+                                  {"version", std::to_string(this->configuration->version)}}});
+        }
+    }
 }
 
-// Finds the account of a request by its key in the configuration in force. Returns false if the
-// request needs an account and has none. A request on an exempt route keeps its account if its key
-// is known.
-bool dispatcher::state::authorize(in_flight_request& request)
+// Finds the account of a request by its key in the configuration in force. Returns a refusal if the
+// request needs an account and has none that can be served. A request on an exempt route keeps its
+// account if its key is known.
+std::optional<refusal> dispatcher::state::authorize(in_flight_request& request)
 {
+    request.account.reset();
+    request.priority = request.matched_route->priority;
     if (!this->accounts.has_accounts()) {
-        request.account.reset();
-        request.priority = request.matched_route->priority;
-        return true;
+        return std::nullopt;
     }
+    const bool exempt = request.matched_route->authentication_exempt;
     const auto* found = this->accounts.find(request.incoming.account_key);
     if (found == nullptr) {
-        request.account.reset();
-        return request.matched_route->authentication_exempt;
+        return exempt ? std::nullopt : std::optional(this->refusal_of_key());
+    }
+    if (!problem_of(*found).empty()) {
+        return exempt ? std::nullopt
+                      : std::optional(refusal{refusal_cause::unusable_account, status_unavailable,
+                                              std::nullopt});
     }
     request.account = found->name;
     request.priority = found->priority.value_or(request.matched_route->priority);
-    return true;
+    return std::nullopt;
 }
 
 // A key that this daemon does not know may have been added by a later configuration, so its
--- a/src/azureshore/balance/internal/dispatcher_state.hpp
+++ b/src/azureshore/balance/internal/dispatcher_state.hpp
@@ -170,7 +170,7 @@
 
     // Authorization.
     void index_accounts();
-    [[nodiscard]] bool authorize(in_flight_request& request);
+    [[nodiscard]] std::optional<refusal> authorize(in_flight_request& request);
     [[nodiscard]] refusal refusal_of_key() const;
     void request_quota(in_flight_request& request);
     void handle_quota(const account_id& account, request_number number, const quota_answer& answer);
--- a/src/azureshore/balance/traffic_configuration.hpp
+++ b/src/azureshore/balance/traffic_configuration.hpp
@@ -69,6 +69,9 @@
     // means that there is no limit.
     double rate = 0;
     double burst = 0;
+    // Why the account could not be read whole; empty if it was. Its requests are refused, as their
+    // limits are not known.
+    std::string defect{};
 
     bool operator==(const client_account&) const = default;
 };
--- a/tests/broken_answers/early_reset_tests.cpp
+++ b/tests/broken_answers/early_reset_tests.cpp
@@ -2,7 +2,7 @@
 // the upload is written. The gateway is a process, as the order of a failed write and of the read
 // beside it depends on the kernel.
 
-#include "broken_answers/faulty_backend.hpp"
+#include "deployment/faulty_backend.hpp"
 #include "deployment/small_deployment.hpp"
 
 #include <array>
--- a/tests/broken_answers/faulty_backend.cpp
+++ b/tests/deployment/faulty_backend.cpp
@@ -1,4 +1,4 @@
-#include "broken_answers/faulty_backend.hpp"
+#include "deployment/faulty_backend.hpp"
 
 #include <nlohmann/json.hpp>
 
--- a/tests/deployment/local_deployment.hpp
+++ b/tests/deployment/local_deployment.hpp
@@ -75,6 +75,10 @@
     // Puts a configuration in force: the next version, with or without the route /extra/.
     void configure(bool with_extra_route);
 
+    // Puts a configuration in force with these client accounts, a list in JSON. Later versions keep
+    // them.
+    void configure_accounts(const std::string& accounts);
+
     // Takes a data centre out of service, or back.
     void set_out_of_service(const std::string& data_centre, bool out);
 
@@ -119,6 +123,8 @@
     std::unique_ptr<net::http_server> store_server;
     std::thread links;
     std::uint64_t version = 0;
+    // In JSON; empty if the configuration has no list of accounts.
+    std::string accounts_in_json;
     // What operators have in force, by key; a key that they dropped has no value.
     std::map<std::string, std::optional<std::string>> operators_records;
     std::size_t last_backend = 0;
--- a/tests/users_platform/decode_tests.cpp
+++ b/tests/users_platform/decode_tests.cpp
@@ -88,6 +88,58 @@
     BOOST_TEST(!of.accounts[1].priority.has_value());
 }
 
+// Guards against an older configuration that stays in force for all because of one client account:
+// with a space in its name, or with a member that can't be read.
+BOOST_AUTO_TEST_CASE(no_client_account_keeps_a_configuration_out_of_force)
+{
+    const auto accounts_of = [](const std::string& list) {
+        const auto read = users_platform::read_operator_record(record(
+            "config",
+            without(configuration, R"("listeners")",
+                    R"("tenants":[{"name":"t1","api_keys":["k1"]},)" + list + R"(],"listeners")")));
+        BOOST_REQUIRE(read.ok());
+        return std::get<balance::traffic_configuration>(*read).accounts;
+    };
+    for (const std::string name :
+         {"South Club", "S\u00fcd", "", " ", "a\\nb", "a\\u0000b", "\\\"", "\\ud83d\\ude00"}) {
+        const auto accounts = accounts_of(R"({"name":")" + name + R"(","api_keys":["k2"]})");
+        BOOST_REQUIRE(accounts.size() == 2U);
+        BOOST_TEST(accounts[0].name.value == "t1");
+        BOOST_TEST((accounts[1].keys == std::vector<std::string>{"k2"}));
+        BOOST_TEST(accounts[1].defect.empty());
+    }
+    BOOST_TEST(accounts_of(R"({"name":"South Club"})")[1].name.value == "South Club");
+    for (const auto* const member :
+         {R"("priority":-1)", R"("priority":"1")", R"("rate_per_s":"3")", R"("rate_per_s":-3)",
+          R"("burst":[])", R"("name":7)", R"("name":null)"}) {
+        const auto accounts =
+            accounts_of(R"({"name":"t2","api_keys":["k2"],)" + std::string(member) + '}');
+        BOOST_TEST_CONTEXT(member)
+        {
+            BOOST_TEST((accounts[1].keys == std::vector<std::string>{"k2"}));
+            BOOST_TEST(!accounts[1].defect.empty());
+            BOOST_TEST(accounts[0].defect.empty());
+        }
+    }
+    for (const auto* const odd : {"7", "null", "[]", "\"t2\"", "{}"}) {
+        BOOST_TEST(!accounts_of(odd)[1].defect.empty(), odd);
+    }
+    const auto nulls =
+        accounts_of(R"({"name":"t2","api_keys":["k2",7],"priority":null,"rate_per_s":null})");
+    BOOST_TEST(nulls[1].defect.empty());
+    BOOST_TEST((nulls[1].keys == std::vector<std::string>{"k2", ""}));
+}
+
+// Guards against an order that is ignored because of the name of its service.
+BOOST_AUTO_TEST_CASE(an_order_of_a_roll_out_may_name_any_service_and_version)
+{
+    const auto read = users_platform::read_operator_record(
+        record("rollout/ride ledger",
+               R"({"service":"ride ledger","target_version":"v2 b","duration_s":30})"));
+    BOOST_REQUIRE(read.ok());
+    BOOST_TEST(std::get<daemon::rollout_order_record>(*read).new_version == "v2 b");
+}
+
 // Guards against an older configuration that stays in force for all routes because of one route
 // that is written in another way: weights are proportions, and an empty split is no split.
 BOOST_AUTO_TEST_CASE(a_configuration_is_read_whatever_numbers_its_weights_are)
