Check keys for as long as a configuration has a list of client accounts

Backend servers got the caller's key, and the account that the caller claimed.

Cause: read_configuration() kept the accounts and not whether there was a list, so that account_directory::has_accounts() took an empty list for an absent one. Authorization and the orders of attempts both asked it. A list that was null or an object became empty, too.

Change: traffic_configuration::accounts is optional. A list that can't be read accepts no key and is logged (account_unusable), while the rest of the version is in force: requests that ran for anybody can't be taken back.

The same cause on related paths: azureshorectl accounts told an empty list, and accounts without requests, as a deployment without accounts; azureshore_accounts_listed and the field accounts of configuration_read now tell them apart.

--- a/src/azureshore/balance/account_directory.cpp
+++ b/src/azureshore/balance/account_directory.cpp
@@ -60,7 +60,7 @@
         throw std::runtime_error("libsodium does not start");
     }
     crypto_shorthash_keygen(this->hash_key.data());
-    for (const auto& account : this->configuration->accounts) {
+    for (const auto& account : this->configuration->listed_accounts()) {
         for (const auto& key : account.keys) {
             this->add(account, key);
         }
@@ -78,9 +78,9 @@
     return found == last ? nullptr : found->second.account;
 }
 
-bool account_directory::has_accounts() const
+bool account_directory::requires_keys() const
 {
-    return this->configuration && !this->configuration->accounts.empty();
+    return this->configuration && this->configuration->accounts.has_value();
 }
 
 std::uint64_t account_directory::hash(std::string_view key) const
--- a/src/azureshore/balance/account_directory.hpp
+++ b/src/azureshore/balance/account_directory.hpp
@@ -47,8 +47,8 @@
     // Returns the account that accepts this key, or null if there is none.
     [[nodiscard]] const client_account* find(std::string_view key) const;
 
-    // Returns whether the configuration has client accounts.
-    [[nodiscard]] bool has_accounts() const;
+    // Returns whether requests need the key of a client account.
+    [[nodiscard]] bool requires_keys() const;
 
     [[nodiscard]] const std::vector<rejected_key>& rejected_keys() const { return this->rejected; }
 
--- a/src/azureshore/balance/dispatch_types.hpp
+++ b/src/azureshore/balance/dispatch_types.hpp
@@ -55,9 +55,9 @@
     duration time_left{};
     // The client account of the request, if it has one.
     std::optional<account_id> account;
-    // Whether the configuration has client accounts. If so, what the caller sent in the fields of
-    // the key and the account is not passed on.
-    bool has_accounts = false;
+    // Whether requests need the key of a client account. If so, what the caller sent in the fields
+    // of the key and the account is not passed on, whether or not this request has an account.
+    bool keys_required = false;
 };
 
 // How an attempt ended.
--- a/src/azureshore/balance/internal/attempts.cpp
+++ b/src/azureshore/balance/internal/attempts.cpp
@@ -94,7 +94,7 @@
         request.incoming.arrived + std::min(caller_timeout, request.matched_route->timeout) - now;
     this->hooks.send({attempt, request.incoming.number, choice.backend,
                       backend->registered.endpoint, choice.probe, time_left, request.account,
-                      this->accounts.has_accounts()});
+                      this->accounts.requires_keys()});
 }
 
 void dispatcher::state::count_send(in_flight_request& request, bool from_queue)
--- a/src/azureshore/balance/internal/authorization.cpp
+++ b/src/azureshore/balance/internal/authorization.cpp
@@ -17,7 +17,7 @@
                               {"cause", std::string(to_string(each.problem))},
                               {"version", std::to_string(this->configuration->version)}}});
     }
-    for (const auto& each : this->configuration->accounts) {
+    for (const auto& each : this->configuration->listed_accounts()) {
         if (const auto problem = problem_of(each); !problem.empty()) {
             this->hooks.decided({"account_unusable",
                                  {{"account", each.name.value},
@@ -34,7 +34,7 @@
 {
     request.account.reset();
     request.priority = request.matched_route->priority;
-    if (!this->accounts.has_accounts()) {
+    if (!this->accounts.requires_keys()) {
         return std::nullopt;
     }
     const bool exempt = request.matched_route->authentication_exempt;
--- a/src/azureshore/balance/traffic_configuration.cpp
+++ b/src/azureshore/balance/traffic_configuration.cpp
@@ -43,4 +43,10 @@
     return found == this->services.end() ? nullptr : &*found;
 }
 
+const std::vector<client_account>& traffic_configuration::listed_accounts() const
+{
+    static const std::vector<client_account> none;
+    return this->accounts ? *this->accounts : none;
+}
+
 } // namespace azureshore::balance
--- a/src/azureshore/balance/traffic_configuration.hpp
+++ b/src/azureshore/balance/traffic_configuration.hpp
@@ -91,14 +91,18 @@
     std::uint64_t version = 0;
     std::vector<route> routes;
     std::vector<service_traits> services;
-    // If there are any, each request needs the key of one, unless its route is exempt.
-    std::vector<client_account> accounts;
+    // Without a list, requests need no key. With one, each request needs the key of a listed
+    // account, unless its route is exempt; no key is accepted if the list is empty.
+    std::optional<std::vector<client_account>> accounts;
     caller_limits limits;
 
     // Returns the route of the host with the longest matching path prefix, or null if none matches.
     [[nodiscard]] const route* find_route(std::string_view host, std::string_view path) const;
 
     [[nodiscard]] const service_traits* find_service(const service_id& name) const;
+
+    // Returns the accounts of the list; none without a list.
+    [[nodiscard]] const std::vector<client_account>& listed_accounts() const;
 };
 
 } // namespace azureshore::balance
--- a/src/azureshore/daemon/internal/account_quotas.cpp
+++ b/src/azureshore/daemon/internal/account_quotas.cpp
@@ -64,7 +64,7 @@
 
 void account_quotas::configure(const balance::traffic_configuration& configuration)
 {
-    this->kept.set_accounts(configuration.accounts);
+    this->kept.set_accounts(configuration.listed_accounts());
     this->log_owned();
 }
 
--- a/src/azureshore/daemon/internal/gateway_store.cpp
+++ b/src/azureshore/daemon/internal/gateway_store.cpp
@@ -283,10 +283,12 @@
         return;
     }
     if (auto* next = std::get_if<balance::traffic_configuration>(&*read)) {
-        this->hooks.log({"configuration_read",
-                         {{"version", std::to_string(next->version)},
-                          {"offset", std::to_string(record.offset)},
-                          {"bytes", std::to_string(record.value->size())}}});
+        this->hooks.log(
+            {"configuration_read",
+             {{"version", std::to_string(next->version)},
+              {"offset", std::to_string(record.offset)},
+              {"bytes", std::to_string(record.value->size())},
+              {"accounts", next->accounts ? std::to_string(next->accounts->size()) : "no_list"}}});
         this->version = std::max(this->version.value_or(0), next->version);
         this->rollouts.set_longest_request(longest_timeout(*next));
         this->hooks.configured(
--- a/src/azureshore/gateway/backend_pool.cpp
+++ b/src/azureshore/gateway/backend_pool.cpp
@@ -257,8 +257,8 @@
             net::same_name(name, this->words.expected_instance)) {
             return false;
         }
-        return !order.has_accounts || (!net::same_name(name, this->words.account_key) &&
-                                       !net::same_name(name, this->words.account));
+        return !order.keys_required || (!net::same_name(name, this->words.account_key) &&
+                                        !net::same_name(name, this->words.account));
     }
 
     std::optional<balance::probe_result> read_probe(const balance::probe_order& order,
--- a/src/azureshore/gateway/gateway.cpp
+++ b/src/azureshore/gateway/gateway.cpp
@@ -398,7 +398,7 @@
         return false;
     }
     this->inner->port.set_limits(in_force->limits);
-    this->inner->accounts.configure(in_force->accounts);
+    this->inner->accounts.configure(*in_force);
     return true;
 }
 
--- a/src/azureshore/gateway/internal/account_counters.cpp
+++ b/src/azureshore/gateway/internal/account_counters.cpp
@@ -4,8 +4,10 @@
 
 namespace azureshore::gateway::detail {
 
-void account_counters::configure(const std::vector<balance::client_account>& accounts)
+void account_counters::configure(const balance::traffic_configuration& in_force)
 {
+    const auto& accounts = in_force.listed_accounts();
+    this->listed = in_force.accounts ? std::optional(accounts.size()) : std::nullopt;
     this->quotas.clear();
     for (const auto& each : accounts) {
         if (each.rate > 0 && this->quotas.size() < max_accounts) {
@@ -29,6 +31,9 @@
 void account_counters::write(std::string& out) const
 {
     observe::metrics made;
+    if (this->listed) {
+        made.set("azureshore_accounts_listed", {}, static_cast<double>(*this->listed));
+    }
     for (const auto& [account, each] : this->quotas) {
         made.set("azureshore_account_quota_rate", {{"account", account}}, each.rate);
         made.set("azureshore_account_quota_burst", {{"account", account}}, each.burst);
--- a/src/azureshore/gateway/internal/account_counters.hpp
+++ b/src/azureshore/gateway/internal/account_counters.hpp
@@ -1,13 +1,14 @@
 #pragma once
 
 #include "azureshore/balance/dispatch_types.hpp"
+#include "azureshore/balance/traffic_configuration.hpp"
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace azureshore::gateway::detail {
 
@@ -21,7 +22,7 @@
     static constexpr std::string_view other_accounts = "other accounts";
 
     // Takes the accounts of the configuration in force.
-    void configure(const std::vector<balance::client_account>& accounts);
+    void configure(const balance::traffic_configuration& in_force);
 
     void ended(const balance::completed_request& request);
 
@@ -34,6 +35,8 @@
         double burst = 0;
     };
 
+    // Without a value, requests need no key.
+    std::optional<std::size_t> listed;
     std::map<std::string, quota> quotas;
     std::map<std::string, std::map<std::string_view, std::uint64_t>> counts;
 };
--- a/src/azureshorectl/commands/accounts_command.cpp
+++ b/src/azureshorectl/commands/accounts_command.cpp
@@ -21,6 +21,7 @@
 constexpr std::string_view requests_series = "azureshore_account_requests_total{";
 constexpr std::string_view rate_series = "azureshore_account_quota_rate{";
 constexpr std::string_view burst_series = "azureshore_account_quota_burst{";
+constexpr std::string_view listed_series = "azureshore_accounts_listed ";
 
 struct account_use {
     double rate = 0;
@@ -31,6 +32,13 @@
     double quota_unavailable = 0;
 };
 
+// What the pages of all gateways tell.
+struct account_summary {
+    std::map<std::string, account_use> uses;
+    // The accounts of the longest list that a gateway has; without a value, none has a list.
+    std::optional<double> listed;
+};
+
 struct series_value {
     std::string account;
     std::string outcome;
@@ -62,29 +70,32 @@
 
 // Adds the series of one gateway's page. Quotas are those of the deployment, so the latest page
 // counts, and requests add up.
-void add_page(const std::string& page, std::map<std::string, account_use>& to)
+void add_page(const std::string& page, account_summary& to)
 {
     std::istringstream lines(page);
     for (std::string line; std::getline(lines, line);) {
         if (const auto rate = parse_series(line, rate_series)) {
-            to[rate->account].rate = rate->value;
+            to.uses[rate->account].rate = rate->value;
         }
         else if (const auto burst = parse_series(line, burst_series)) {
-            to[burst->account].burst = burst->value;
+            to.uses[burst->account].burst = burst->value;
         }
         else if (const auto requests = parse_series(line, requests_series)) {
-            auto& use = to[requests->account];
+            auto& use = to.uses[requests->account];
             use.requests += requests->value;
             use.answered += requests->outcome == "answered" ? requests->value : 0;
             use.quota_exceeded += requests->outcome == "quota_exceeded" ? requests->value : 0;
             use.quota_unavailable += requests->outcome == "quota_unavailable" ? requests->value : 0;
         }
+        else if (const auto listed = parse_series(line, listed_series)) {
+            to.listed = std::max(to.listed.value_or(0), listed->value);
+        }
     }
 }
 
 exit_status accounts(environment& world, const options& given)
 {
-    std::map<std::string, account_use> all;
+    account_summary all;
     for (const auto& path : given.arguments) {
         const auto page = world.read_file(path);
         if (!page.ok()) {
@@ -93,11 +104,14 @@
         }
         add_page(*page, all);
     }
-    if (all.empty()) {
+    if (all.uses.empty() && !all.listed) {
         *world.err << "no page tells of client accounts\n";
         return exit_status::failed;
     }
-    std::vector<std::pair<std::string, account_use>> rows(all.begin(), all.end());
+    if (all.listed == 0) {
+        *world.out << "the list of client accounts is empty: no key is accepted\n";
+    }
+    std::vector<std::pair<std::string, account_use>> rows(all.uses.begin(), all.uses.end());
     std::stable_sort(rows.begin(), rows.end(), [](const auto& left, const auto& right) {
         return left.second.requests > right.second.requests;
     });
--- a/tests/account_changes/account_changes_tests.cpp
+++ b/tests/account_changes/account_changes_tests.cpp
@@ -39,14 +39,42 @@
         }
     }
     auto& restarted = of.place.gateways.front();
-    restarted.process.reset();
-    of.place.start(restarted);
-    constexpr auto start_bound = std::chrono::seconds(8);
-    const auto ready_by = steady_now() + start_bound;
-    while (!of.place.ready(restarted) && steady_now() < ready_by) {
-        std::this_thread::sleep_for(milliseconds(50));
-    }
+    of.restart(restarted);
     BOOST_TEST(of.ask(restarted, "key-" + std::to_string(version)) == status_ok);
 }
 
+// Guards against a deployment whose keys nobody checks any more because its list of accounts is
+// empty or can't be read, at the change and after a restart.
+BOOST_AUTO_TEST_CASE(keys_are_checked_for_as_long_as_there_is_a_list_of_accounts)
+{
+    const auto one_account = json::array({account("north-club", "key-north")}).dump();
+    keyed_deployment of(2, json::array({account("north-club", "key-north")}));
+    const auto expect_none_runs = [&](const gateway_vm& at) {
+        for (const std::string key : {"key-north", "key-nobody", ""}) {
+            std::optional<seen_request> ran;
+            BOOST_TEST(of.ask(at, key, &ran, "north-club") == status_unauthorized, key);
+            BOOST_TEST(!ran.has_value(), key);
+        }
+    };
+    for (const std::string list : {"[]", "null", "{}", "false", "\"\""}) {
+        BOOST_TEST_CONTEXT(list)
+        {
+            of.place.configure_accounts(list);
+            keyed_deployment::await_configuration();
+            for (const auto& each : of.place.gateways) {
+                expect_none_runs(each);
+            }
+        }
+    }
+    of.place.configure_accounts("[]");
+    keyed_deployment::await_configuration();
+    auto& restarted = of.place.gateways.front();
+    of.restart(restarted);
+    expect_none_runs(restarted);
+    of.place.configure_accounts(one_account);
+    keyed_deployment::await_configuration();
+    BOOST_TEST(of.ask_all("key-north") == std::vector<int>(2, status_ok));
+    BOOST_TEST(of.ask_all("key-nobody") == std::vector<int>(2, status_unauthorized));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/account_changes/keyed_deployment.hpp
+++ b/tests/account_changes/keyed_deployment.hpp
@@ -75,6 +75,18 @@
         return statuses;
     }
 
+    // Kills a gateway, starts it again and waits for it to be ready, for a limited time.
+    void restart(gateway_vm& vm)
+    {
+        constexpr auto start_bound = std::chrono::seconds(8);
+        vm.process.reset();
+        this->place.start(vm);
+        const auto ready_by = steady_now() + start_bound;
+        while (!this->place.ready(vm) && steady_now() < ready_by) {
+            std::this_thread::sleep_for(milliseconds(50));
+        }
+    }
+
     // Waits for as long as an accepted version may take to be in force.
     static void await_configuration() { std::this_thread::sleep_for(configuration_bound); }
 
--- a/tests/azureshorectl/accounts_tests.cpp
+++ b/tests/azureshorectl/accounts_tests.cpp
@@ -63,6 +63,17 @@
     BOOST_TEST((row == std::vector<std::string>{"a", "2.5", "4.0", "10", "4", "6", "0", "0"}));
 }
 
+// Guards against an empty list that looks like a deployment that needs no keys.
+BOOST_AUTO_TEST_CASE(an_empty_list_of_accounts_is_told)
+{
+    const auto empty = run({{"one", "azureshore_accounts_listed 0\n"}});
+    BOOST_TEST((empty.ended == exit_status::done));
+    BOOST_TEST(empty.out.find("no key is accepted") != std::string::npos);
+    const auto unused = run({{"one", "azureshore_accounts_listed 2\n"}});
+    BOOST_TEST((unused.ended == exit_status::done));
+    BOOST_TEST(unused.out.find("no key is accepted") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(pages_without_accounts_are_an_error)
 {
     BOOST_TEST((run({{"one", "azureshore_requests_total 3\n"}}).ended == exit_status::failed));
--- a/tests/balance/authorization_tests.cpp
+++ b/tests/balance/authorization_tests.cpp
@@ -144,7 +144,7 @@
     of.clock.run_for(10ms);
     BOOST_REQUIRE(of.sent.size() == 1U);
     BOOST_TEST((of.sent[0].account == account_id{"b"}));
-    BOOST_TEST(of.sent[0].has_accounts);
+    BOOST_TEST(of.sent[0].keys_required);
     const auto unknown = of.request("/plates/1", "k");
     const auto missing = of.request("/plates/1", "");
     BOOST_TEST(of.refused.at(unknown).status == 401);
@@ -152,15 +152,48 @@
 }
 
 // Guards against deployments without accounts that begin to ask for keys.
-BOOST_AUTO_TEST_CASE(without_accounts_no_key_is_needed)
+BOOST_AUTO_TEST_CASE(without_a_list_of_accounts_no_key_is_needed)
 {
     one_dispatcher of;
-    of.configure(with_accounts(1, {}));
+    auto open = with_accounts(1, {});
+    open.accounts.reset();
+    of.configure(open);
     of.request("/plates/1", "k");
     of.clock.run_for(10ms);
     BOOST_REQUIRE(of.sent.size() == 1U);
     BOOST_TEST(!of.sent[0].account.has_value());
-    BOOST_TEST(!of.sent[0].has_accounts);
+    BOOST_TEST(!of.sent[0].keys_required);
+}
+
+// Guards against a deployment that opens to everybody when its last account is removed.
+BOOST_AUTO_TEST_CASE(an_empty_list_of_accounts_accepts_no_key)
+{
+    one_dispatcher of;
+    of.configure(with_accounts(1, {}));
+    for (const auto* const key : {"k", ""}) {
+        const auto number = of.request("/plates/1", key);
+        BOOST_TEST(of.refused.at(number).status == 401);
+    }
+    of.request("/open/1", "k");
+    of.clock.run_for(10ms);
+    BOOST_REQUIRE(of.sent.size() == 1U);
+    BOOST_TEST(!of.sent[0].account.has_value());
+    BOOST_TEST(of.sent[0].keys_required);
+}
+
+// Guards against a request that waits for room and runs after the last account was removed.
+BOOST_AUTO_TEST_CASE(a_waiting_request_is_not_sent_once_the_list_of_accounts_is_empty)
+{
+    one_dispatcher of;
+    of.configure(with_accounts(1, {account("a", {"k1"})}));
+    of.running = 1;
+    const auto number = of.request("/plates/1", "k1");
+    of.clock.run_for(50ms);
+    of.configure(with_accounts(2, {}));
+    of.running = 0;
+    of.clock.run_for(100ms);
+    BOOST_TEST(of.sent.empty());
+    BOOST_TEST(of.refused.at(number).status == 401);
 }
 
 BOOST_AUTO_TEST_CASE(an_exempt_route_needs_no_key)
@@ -171,7 +204,7 @@
     of.clock.run_for(10ms);
     BOOST_REQUIRE(of.sent.size() == 1U);
     BOOST_TEST(!of.sent[0].account.has_value());
-    BOOST_TEST(of.sent[0].has_accounts);
+    BOOST_TEST(of.sent[0].keys_required);
 }
 
 // Guards against a final refusal of a key that a later configuration has added.
--- a/tests/gateway/account_tests.cpp
+++ b/tests/gateway/account_tests.cpp
@@ -94,6 +94,22 @@
     BOOST_TEST(of.last.empty());
 }
 
+// Guards against requests that run, with the caller's key and claim, once the last account is gone.
+BOOST_AUTO_TEST_CASE(no_key_is_accepted_if_the_list_of_accounts_is_empty)
+{
+    recording_gateway of;
+    of.gateway.configure(std::vector{account("a", "k1")});
+    raw_client caller(of.gateway.port());
+    of.forwarded(caller, "Account-Key: k1\r\n");
+    of.last.clear();
+    of.gateway.configure(std::vector<balance::client_account>{});
+    for (const std::string fields : {"Account-Key: k1\r\n", "Account: a\r\n", ""}) {
+        caller.send(request_text("POST /orders/1", "r-2", fields));
+        BOOST_TEST(caller.read_until("\r\n\r\n").starts_with("HTTP/1.1 401 "), fields);
+    }
+    BOOST_TEST(of.last.empty());
+}
+
 // Guards against fields that earlier deployments pass on and that are taken for keys.
 BOOST_AUTO_TEST_CASE(without_accounts_the_fields_are_passed_on)
 {
--- a/tests/gateway/running_gateway.cpp
+++ b/tests/gateway/running_gateway.cpp
@@ -121,7 +121,7 @@
 
 void running_gateway::configure(const balance::caller_limits& limits)
 {
-    this->configure(limits, {});
+    this->configure(limits, std::nullopt);
 }
 
 void running_gateway::configure(std::vector<balance::client_account> accounts)
@@ -130,7 +130,7 @@
 }
 
 void running_gateway::configure(const balance::caller_limits& limits,
-                                std::vector<balance::client_account> accounts)
+                                std::optional<std::vector<balance::client_account>> accounts)
 {
     auto made = std::make_shared<balance::traffic_configuration>();
     made->version = ++this->inner->version;
--- a/tests/gateway/running_gateway.hpp
+++ b/tests/gateway/running_gateway.hpp
@@ -38,7 +38,7 @@
 
     // Puts limits in force for callers to come.
     void configure(const balance::caller_limits& limits);
-    // Puts client accounts in force.
+    // Puts a list of client accounts in force.
     void configure(std::vector<balance::client_account> accounts);
     void add_backend(const std::string& name, const test_support::raw_server& at);
 
@@ -52,7 +52,7 @@
 
 private:
     void configure(const balance::caller_limits& limits,
-                   std::vector<balance::client_account> accounts);
+                   std::optional<std::vector<balance::client_account>> accounts);
 
     class state;
     std::unique_ptr<state> inner;
--- a/tests/users_platform/decode_tests.cpp
+++ b/tests/users_platform/decode_tests.cpp
@@ -78,14 +78,40 @@
     const auto read = users_platform::read_operator_record(
         record("config", without(configuration, R"("listeners")", accounts)));
     BOOST_REQUIRE(read.ok());
-    const auto& of = std::get<balance::traffic_configuration>(*read);
-    BOOST_REQUIRE(of.accounts.size() == 2U);
-    BOOST_TEST(of.accounts[0].name.value == "t1");
-    BOOST_TEST((of.accounts[0].keys == std::vector<std::string>{"k1", "k2"}));
-    BOOST_TEST((of.accounts[0].priority == 1U));
-    BOOST_TEST(of.accounts[0].rate == 2.5);
-    BOOST_TEST(of.accounts[0].burst == 4.0);
-    BOOST_TEST(!of.accounts[1].priority.has_value());
+    const auto& listed = std::get<balance::traffic_configuration>(*read).listed_accounts();
+    BOOST_REQUIRE(listed.size() == 2U);
+    BOOST_TEST(listed[0].name.value == "t1");
+    BOOST_TEST((listed[0].keys == std::vector<std::string>{"k1", "k2"}));
+    BOOST_TEST((listed[0].priority == 1U));
+    BOOST_TEST(listed[0].rate == 2.5);
+    BOOST_TEST(listed[0].burst == 4.0);
+    BOOST_TEST(!listed[1].priority.has_value());
+}
+
+// Guards against a list of accounts that is empty, or can't be read, and is taken for an absent
+// one, so that requests need no keys.
+BOOST_AUTO_TEST_CASE(only_a_configuration_without_a_list_of_accounts_needs_no_keys)
+{
+    const auto read_with = [](const std::string& member) {
+        const auto read = users_platform::read_operator_record(
+            record("config", without(configuration, R"("listeners")", member + R"("listeners")")));
+        BOOST_REQUIRE(read.ok());
+        return std::get<balance::traffic_configuration>(*read);
+    };
+    BOOST_TEST(!read_with("").accounts.has_value());
+    const auto empty = read_with(R"("tenants":[],)");
+    BOOST_TEST(empty.accounts.has_value());
+    BOOST_TEST(empty.listed_accounts().empty());
+    for (const std::string odd : {"null", "{}", R"({"a":{"name":"t1","api_keys":["k1"]}})", "\"\"",
+                                  "\"t1\"", "false", "true", "0", "1.5"}) {
+        const auto unreadable = read_with(R"("tenants":)" + odd + ',');
+        BOOST_TEST_CONTEXT(odd)
+        {
+            BOOST_REQUIRE(unreadable.listed_accounts().size() == 1U);
+            BOOST_TEST(!unreadable.listed_accounts()[0].defect.empty());
+            BOOST_TEST(unreadable.listed_accounts()[0].keys.empty());
+        }
+    }
 }
 
 // Guards against an older configuration that stays in force for all because of one client account:
@@ -98,7 +124,7 @@
             without(configuration, R"("listeners")",
                     R"("tenants":[{"name":"t1","api_keys":["k1"]},)" + list + R"(],"listeners")")));
         BOOST_REQUIRE(read.ok());
-        return std::get<balance::traffic_configuration>(*read).accounts;
+        return std::get<balance::traffic_configuration>(*read).listed_accounts();
     };
     for (const std::string name :
          {"South Club", "S\u00fcd", "", " ", "a\\nb", "a\\u0000b", "\\\"", "\\ud83d\\ude00"}) {
