Let gateways start with a configuration that no datagram can carry

Cause: a record whose datagram is larger than 65,507 bytes was dropped without a word, as whoever needs it asks the store. But load_without_seeds() listed the topics only after it had looked for the members in the store, and that only if nobody had told them. The answers that lacked the configuration told the members.

Change: others send both topics at once, so a daemon that has one, but in two rounds of checks not the other, lists that one in the store, whatever the reason is. One that knows the members and no topic is among those that call the store. message_too_large logs what can't be sent.

Large messages are still not divided: with such a configuration each gateway that is no seed calls the store itself, and can't start while the store is out.

--- a/src/azureshore/daemon/internal/gateway_store_hooks.cpp
+++ b/src/azureshore/daemon/internal/gateway_store_hooks.cpp
@@ -43,6 +43,12 @@
     };
     made.send = [this](const std::vector<address>& recipients, const wire::message& body) {
         const auto datagram = to_datagram(wire::encode({this->self, body}));
+        if (datagram.size() > peer_socket::most_bytes) {
+            this->hooks.log({"message_too_large",
+                             {{"bytes", std::to_string(datagram.size())},
+                              {"recipients", std::to_string(recipients.size())}}});
+            return;
+        }
         for (const auto& each : recipients) {
             this->socket.send(each, datagram);
         }
--- a/src/azureshore/daemon/internal/peer_socket.cpp
+++ b/src/azureshore/daemon/internal/peer_socket.cpp
@@ -24,7 +24,7 @@
     if (parse_error || bytes.size() > most_bytes) {
         return;
     }
-    // A datagram that can't be sent now counts as lost: whoever needs it asks the store.
+    // A datagram that can't be sent counts as lost: whoever needs it asks the store.
     asio::error_code ignored;
     this->socket.send_to(asio::buffer(bytes), udp::endpoint(host, to.port), 0, ignored);
 }
--- a/src/azureshore/daemon/internal/peer_socket.hpp
+++ b/src/azureshore/daemon/internal/peer_socket.hpp
@@ -17,12 +17,13 @@
     peer_socket(asio::io_context& executor, const address& where,
                 std::function<void(std::string_view)> received);
 
-    void send(const address& to, std::string_view bytes);
-
-private:
     // The largest payload of a datagram over IPv4.
     static constexpr std::size_t most_bytes = 65507;
 
+    // Larger datagrams are not sent.
+    void send(const address& to, std::string_view bytes);
+
+private:
     void receive();
 
     asio::ip::udp::socket socket;
--- a/src/azureshore/sharing/internal/joining.cpp
+++ b/src/azureshore/sharing/internal/joining.cpp
@@ -131,15 +131,19 @@
 }
 
 // Looks in the store for other daemons and for the topics themselves, if no other daemon answers.
-// Where others answer that have no snapshot either, only a few of them call the store.
+// Where others answer that have no snapshot either, only a few of them call the store. Others send
+// both topics at once: if only one arrives, and the other has not followed by the next round, its
+// messages are lost each time, as one that no datagram can carry is.
 void store_sharing::state::load_without_seeds()
 {
     if (this->topics_listed() && this->members_listed) {
         return;
     }
     const bool others_answer = this->now() - this->peer_answered_at < answer_validity;
-    if (!others_answer || this->is_chosen_to_call(starting_caller_count)) {
-        if (this->looked_for_members) {
+    const bool half_listed = this->topics[0].listed != this->topics[1].listed;
+    const bool stays_half_listed = std::exchange(this->was_half_listed, half_listed) && half_listed;
+    if (!others_answer || stays_half_listed || this->is_chosen_to_call(starting_caller_count)) {
+        if (this->looked_for_members || this->members_listed) {
             this->list_unlisted_topics();
         }
         if (!this->members_listed) {
--- a/src/azureshore/sharing/internal/sharing_state.hpp
+++ b/src/azureshore/sharing/internal/sharing_state.hpp
@@ -315,6 +315,8 @@
     time_point peer_heard_at;
     // Whether another daemon has told this one its view of the members.
     bool met_others = false;
+    // Whether one of the topics was known, and the other not, when this daemon last checked.
+    bool was_half_listed = false;
     duration load_retry_delay{};
     // Daemons that get a snapshot as soon as this one has it, and those that got one lately.
     std::vector<wire::member_entry> waiting_daemons;
--- a/tests/account_changes/account_changes_tests.cpp
+++ b/tests/account_changes/account_changes_tests.cpp
@@ -14,7 +14,7 @@
 {
     const std::vector<int> served(2, status_ok);
     const std::vector<int> refused(2, status_unauthorized);
-    keyed_deployment of(2, json::array({account("north-club", "key-0")}));
+    keyed_deployment of(gateways_alone(2), json::array({account("north-club", "key-0")}));
     int version = 0;
     for (const std::string name : {"South Club", "S\xc3\xbc\x64 \xe2\x9a\x93", "a\tb", "\"x\", {y}",
                                    "no-header\r\nX-Tenant: north-club", " led", ""}) {
@@ -48,7 +48,7 @@
 BOOST_AUTO_TEST_CASE(keys_are_checked_for_as_long_as_there_is_a_list_of_accounts)
 {
     const auto one_account = json::array({account("north-club", "key-north")}).dump();
-    keyed_deployment of(2, json::array({account("north-club", "key-north")}));
+    keyed_deployment of(gateways_alone(2), json::array({account("north-club", "key-north")}));
     const auto expect_none_runs = [&](const gateway_vm& at) {
         for (const std::string key : {"key-north", "key-nobody", ""}) {
             std::optional<seen_request> ran;
--- a/tests/deployment/keyed_deployment.hpp
+++ b/tests/deployment/keyed_deployment.hpp
@@ -28,6 +28,15 @@
     std::string key;
 };
 
+// Gateways whose only backend server is that of keyed_deployment.
+inline deployment_plan gateways_alone(std::size_t gateways)
+{
+    deployment_plan plan;
+    plan.gateways = gateways;
+    plan.backends = 0;
+    return plan;
+}
+
 // Gateways as processes, with a backend server that remembers the account and the key of each
 // request.
 struct keyed_deployment {
@@ -35,8 +44,8 @@
     local_deployment place;
     std::size_t asked = 0;
 
-    explicit keyed_deployment(std::size_t gateways, const nlohmann::json& accounts)
-        : place(plan_for(gateways), this->watch),
+    keyed_deployment(const deployment_plan& plan, const nlohmann::json& accounts)
+        : place(plan, this->watch),
           server([this](test_support::raw_connection& connection, int) { this->serve(connection); })
     {
         this->place.store.put("keyed.servers", "i-1", registration_of(this->server.port()));
@@ -91,14 +100,6 @@
     static void await_configuration() { std::this_thread::sleep_for(configuration_bound); }
 
 private:
-    static deployment_plan plan_for(std::size_t gateways)
-    {
-        deployment_plan plan;
-        plan.gateways = gateways;
-        plan.backends = 0;
-        return plan;
-    }
-
     void serve(test_support::raw_connection& connection)
     {
         while (const auto request = connection.read_request()) {
--- a/tests/deployment/local_deployment.cpp
+++ b/tests/deployment/local_deployment.cpp
@@ -60,7 +60,7 @@
             }),
       folder(plan.folder), watch(watched_by), slots(plan.slots), work_time(plan.work),
       max_body_bytes(plan.max_body_bytes), idle_timeout(plan.idle_timeout),
-      memory_mb(plan.memory_mb), subnet(subnet_of_this_process())
+      memory_mb(plan.memory_mb), seeds(plan.seeds), subnet(subnet_of_this_process())
 {
     const auto first = this->subnet + '1';
     this->peers_port = free_port<asio::ip::udp>(this->executor, first);
@@ -117,8 +117,8 @@
          << "[listen]\ncallers = " << at(this->callers_port) << "ready = " << at(this->ready_port)
          << "peers = " << at(this->peers_port) << "metrics = " << at(this->metrics_port)
          << "[peers]\nseeds = [";
-    for (const auto& each : this->gateways) {
-        text << '"' << each.host << ':' << this->peers_port << "\", ";
+    for (std::size_t i = 0; i < std::min(this->seeds, this->gateways.size()); ++i) {
+        text << '"' << this->gateways[i].host << ':' << this->peers_port << "\", ";
     }
     text << "]\n[store]\naddress = \"" << to_string(vm.to_store->where()) << "\"\n"
          << "[bounds]\napply_within = 2500\nstop_within = 6000\nretry_slack = " << retry_slack
--- a/tests/deployment/local_deployment.hpp
+++ b/tests/deployment/local_deployment.hpp
@@ -14,6 +14,7 @@
 
 #include <atomic>
 #include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -50,6 +51,8 @@
     std::chrono::milliseconds idle_timeout = std::chrono::seconds(15);
     // The setting `limits.memory` of each gateway; not set when zero.
     std::size_t memory_mb = 0;
+    // How many of the gateways are seeds of all; by default all of them.
+    std::size_t seeds = std::numeric_limits<std::size_t>::max();
 };
 
 // Gateways as processes on loopback addresses of their own, with the platform's store, backend
@@ -119,6 +122,7 @@
     std::size_t max_body_bytes;
     std::chrono::milliseconds idle_timeout;
     std::size_t memory_mb;
+    std::size_t seeds;
     std::vector<std::string> zones{"north", "south"};
     std::unique_ptr<net::http_server> store_server;
     std::thread links;
--- a/tests/restarts/restarts_tests.cpp
+++ b/tests/restarts/restarts_tests.cpp
@@ -2,6 +2,9 @@
 
 #include "deployment/keyed_deployment.hpp"
 
+#include <algorithm>
+#include <random>
+
 using namespace azureshore;
 using namespace azureshore::testing;
 using nlohmann::json;
@@ -32,6 +35,29 @@
     vm.process.reset();
 }
 
+// Accounts with random keys, which hardly compress. The first account's first key is known.
+json many_accounts(std::size_t keys)
+{
+    constexpr std::size_t accounts = 76;
+    std::mt19937_64 random(keys);
+    auto made = json::array();
+    for (std::size_t i = 0; i < accounts; ++i) {
+        auto each = account("club-" + std::to_string(i), "key-" + std::to_string(i));
+        for (std::size_t k = 0; k < keys; ++k) {
+            each["api_keys"].push_back(std::to_string(random()));
+        }
+        made.push_back(each);
+    }
+    return made;
+}
+
+bool all_ready(keyed_deployment& of)
+{
+    const auto& gateways = of.place.gateways;
+    return std::all_of(gateways.begin(), gateways.end(),
+                       [&of](const auto& each) { return of.place.ready(each); });
+}
+
 // Returns how many of some requests over a few seconds are served.
 int count_served(keyed_deployment& of, const gateway_vm& vm, const std::string& key, int requests)
 {
@@ -52,7 +78,7 @@
 BOOST_AUTO_TEST_CASE(a_gateway_that_alone_comes_back_serves_accounts_with_a_quota)
 {
     constexpr int requests = 20;
-    keyed_deployment of(3, json::array({limited_account()}));
+    keyed_deployment of(gateways_alone(3), json::array({limited_account()}));
     auto& gateways = of.place.gateways;
     std::this_thread::sleep_for(std::chrono::seconds(4));
     auto& back = gateways.front();
@@ -70,7 +96,7 @@
 BOOST_AUTO_TEST_CASE(the_last_gateway_serves_accounts_with_a_quota)
 {
     constexpr int requests = 20;
-    keyed_deployment of(3, json::array({limited_account()}));
+    keyed_deployment of(gateways_alone(3), json::array({limited_account()}));
     auto& gateways = of.place.gateways;
     std::this_thread::sleep_for(std::chrono::seconds(4));
     auto& last = gateways.back();
@@ -88,3 +114,39 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(large_configurations)
+
+// Guards against gateways that never get a configuration that no datagram can carry: at their first
+// start, after a kill of all and after planned restarts.
+BOOST_AUTO_TEST_CASE(gateways_restart_with_a_configuration_that_no_datagram_can_carry)
+{
+    constexpr std::size_t gateways = 7;
+    const std::vector<int> served(gateways, status_ok);
+    for (const std::size_t keys : {std::size_t{80}, std::size_t{140}}) {
+        auto plan = gateways_alone(gateways);
+        plan.seeds = 2;
+        keyed_deployment of(plan, many_accounts(keys));
+        BOOST_TEST_CONTEXT(keys << " keys for each account")
+        {
+            BOOST_TEST(of.ask_all("key-0") == served);
+            for (auto& each : of.place.gateways) {
+                kill(each);
+            }
+            for (auto& each : of.place.gateways) {
+                of.place.start(each);
+            }
+            std::this_thread::sleep_for(recovery_bound);
+            BOOST_TEST(all_ready(of));
+            BOOST_TEST(of.ask_all("key-0") == served);
+            for (auto& each : of.place.gateways) {
+                stop_as_planned(each);
+                of.restart(each);
+            }
+            BOOST_TEST(all_ready(of));
+            BOOST_TEST(of.ask_all("key-0") == served);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/sharing/store_sharing_tests.cpp
+++ b/tests/sharing/store_sharing_tests.cpp
@@ -577,4 +577,48 @@
     }
 }
 
+// Guards against daemons that stay without a configuration for good because no message can carry
+// it.
+BOOST_AUTO_TEST_CASE(daemons_get_a_record_that_no_message_can_carry)
+{
+    constexpr duration recovery_bound = 15s;
+    const auto has_records_of_operators = [](const wire::message& body) {
+        const auto* const snapshot = std::get_if<wire::topic_snapshot>(&body);
+        const auto* const news = std::get_if<wire::topic_news>(&body);
+        return (snapshot != nullptr && snapshot->topic == shared_topic::operators &&
+                !snapshot->records.empty()) ||
+               (news != nullptr && news->topic == shared_topic::operators &&
+                !news->records.empty());
+    };
+    for (const std::size_t daemons : {std::size_t{2}, daemon_count, std::size_t{60}}) {
+        sharing_cluster cluster(daemons, 30 + daemons);
+        cluster.is_lost = has_records_of_operators;
+        cluster.store.put(sharing_cluster::operators, "config", "1");
+        const auto start_all = [&] {
+            for (std::size_t i = 0; i < daemons; ++i) {
+                cluster.start(i);
+            }
+            cluster.clock.run_for(recovery_bound);
+        };
+        const auto all_know = [&](const std::string& value) {
+            return all_daemons_know(cluster, daemons, shared_topic::operators, "config", value);
+        };
+        start_all();
+        BOOST_TEST(all_know("1"), "first start of " << daemons);
+        cluster.store.put(sharing_cluster::operators, "config", "2");
+        cluster.clock.run_for(apply_bound);
+        BOOST_TEST(all_know("2"), "change of " << daemons);
+        cluster.first_start = false;
+        for (std::size_t i = 0; i < daemons; ++i) {
+            cluster.kill(i);
+        }
+        start_all();
+        BOOST_TEST(all_know("2"), "restart of all of " << daemons);
+        cluster.kill(daemons - 1);
+        cluster.start(daemons - 1);
+        cluster.clock.run_for(recovery_bound);
+        BOOST_TEST(all_know("2"), "restart of one of " << daemons);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
