Let a stand-in of the net tests keep its answer until it is sent

The sanitizers found a read of freed memory in test_net, once, beside load: the stand-in server sends from a string that the test replaces for the next answer. The client may be done before the server's call to send returns. The server sends a copy now. Only the test was wrong, and its checks are unchanged.

--- a/tests/net/broken_answers_tests.cpp
+++ b/tests/net/broken_answers_tests.cpp
@@ -64,9 +64,13 @@
         if (!connection.read_head()) {
             return;
         }
-        connection.send(this->next);
-        if (this->with_reset) {
-            if (this->with_end_before_reset) {
+        // The client may be done, and the next answer be written, before sending returns.
+        const auto answer = this->next;
+        const bool resets = this->with_reset;
+        const bool ends_first = this->with_end_before_reset;
+        connection.send(answer);
+        if (resets) {
+            if (ends_first) {
                 connection.finish_sending();
             }
             connection.reset_at_end();
