--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 cmake --build target --target azureshored azureshore-standin
 mkdir -p target/review-3
-for source in review/1[1-5]/case.cpp; do
+for source in review/1[1-5]/case.cc; do
     number=$(basename "$(dirname "$source")")
     g++ -std=c++20 -O1 -Wall -Wextra -pthread -I review -o "target/review-3/$number" "$source"
 done
--- a/review/harness-3/harness.h
+++ b/review/harness-3/harness.h
@@ -681,10 +681,10 @@
         }
     }
 
-    // Starts a gateway with the command and the template's settings of the deploy file.
-    void start(gateway& which, bool first_start)
+    // Writes what the template of the deploy file makes of the platform's fields.
+    void write_settings(const gateway& which, bool first_start) const
     {
-        const auto file = this->folder + "/" + which.name + ".toml";
+        const auto file = this->settings_file(which);
         const auto vm = atoi(which.name.c_str() + strlen("front-"));
         const auto zone = this->options.zones[static_cast<std::size_t>(vm - 1) %
                                               this->options.zones.size()];
@@ -707,16 +707,29 @@
             << "[peers]\nseeds = [" << seeds
             << "]\nfirst_start = " << (first_start ? "true" : "false") << "\n[store]\n"
             << text("address = \"127.0.0.1:%d\"\n", this->store_port)
-            << "[bounds]\napply_within = 2000\nstop_within = 6000\nretry_ratio = 0.2\n"
+            << "[bounds]\napply_within = 2000\nstop_within = " << this->stop_within
+            << "\nretry_ratio = 0.2\n"
             << text("retry_slack = %g\nprobes_per_second = %d\nretry_window = 10000\n",
                     this->options.retry_slack, this->options.probes_per_second)
             << "[limits]\nmemory = 260\n";
-        which.process.start({"target/src/azureshored/azureshored", "--gateway", "--settings", file},
+    }
+
+    // Starts a gateway with the command of the deploy file.
+    void start(gateway& which, bool first_start)
+    {
+        this->write_settings(which, first_start);
+        which.process.start({"target/src/azureshored/azureshored", "--gateway", "--settings",
+                             this->settings_file(which)},
                             this->folder + "/" + which.name + ".log");
         which.started_at = now();
         note("start " + which.name);
     }
 
+    [[nodiscard]] std::string settings_file(const gateway& which) const
+    {
+        return this->folder + "/" + which.name + ".toml";
+    }
+
     [[nodiscard]] bool is_ready(const gateway& which) const
     {
         const auto answer = ask(which.ip, this->ready_port(),
@@ -738,6 +751,8 @@
         return true;
     }
 
+    // "grace_period_s" of the platform with "000" after it, as the template has it.
+    std::string stop_within = "6000";
     deployment_options options;
     std::string folder;
     int base_port = 0;
